--- /dev/null
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "nutmegturn/steering/upstream_gate.hpp"
+
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegturn::steering
+{
+	/// How far a flow has come at the agent's upstream.
+	enum class flow_stage : std::uint8_t
+	{
+		asked,     ///< A packet was delivered; the upstream has not shown whether it holds the flow.
+		half_open, ///< It accepted the opening packet.
+		open       ///< It exchanges data or acknowledgements.
+	};
+
+	/// What an agent remembers of a flow. The upstream is the truth: what is lost here is learned again.
+	struct agent_flow
+	{
+		flow_stage stage = flow_stage::asked;
+		bool at_work = false;               ///< Data went in and no data has come out since.
+		bool caller_finished = false;       ///< The caller has closed its side.
+		bool upstream_finished = false;     ///< The upstream has closed its side.
+		bool tracked = false;               ///< `highest_sequence` is valid.
+		std::uint32_t highest_sequence = 0; ///< End of the newest data of the caller.
+		std::uint32_t acknowledgement = 0;  ///< Newest one of the caller; a reset must be near it.
+		monotonic_time used;
+		std::vector<ipv4> askers; ///< Balancers that wait to hear whether the flow is held here.
+	};
+
+	/// Message for a balancer.
+	struct agent_reply
+	{
+		ipv4 balancer{};
+		message_kind kind = message_kind::load;
+		flow_id flow;
+		intake why = intake::open;
+		bool with_packet = false; ///< Carries the packet that led to it.
+	};
+
+	/// Reset of a flow towards its caller.
+	struct flow_reset
+	{
+		flow_id flow;
+		std::uint32_t sequence = 0;
+	};
+
+	/// What to do with a packet.
+	struct agent_decision
+	{
+		bool deliver = false;   ///< To the upstream.
+		bool to_caller = false; ///< To the caller.
+		std::vector<agent_reply> replies;
+	};
+
+	/// State of an agent.
+	struct agent_state
+	{
+		upstream_gate gate;
+		std::unordered_map<flow_id, agent_flow, flow_id_hash> flows;
+		std::size_t at_work = 0;                            ///< Flows with a request in progress.
+		std::unordered_map<ipv4, monotonic_time> balancers; ///< Balancers by the time of their last message.
+		load_report last_sent;
+		monotonic_time last_sent_at;
+	};
+
+	/// Largest number of flows that an agent remembers; packets of further flows are delivered without a memory.
+	inline constexpr std::size_t max_agent_flows = 16'384;
+
+	/// Takes a packet that a balancer sent.
+	[[nodiscard]] agent_decision take_balancer_packet(agent_state& state, const catalog& known, const message& it,
+													  const segment& packet, ipv4 balancer, monotonic_time now);
+
+	/// Takes a packet that the upstream sent or gave back.
+	[[nodiscard]] agent_decision take_upstream_packet(agent_state& state, const segment& packet, monotonic_time now);
+
+	/// Takes the news that nothing listens at the upstream's port: it has ended and its flows with it.
+	/// \returns	Resets for the callers of its open flows.
+	[[nodiscard]] std::vector<flow_reset> take_refusal(agent_state& state, monotonic_time now);
+
+	/// Notes a balancer that wants load reports.
+	void note_balancer(agent_state& state, ipv4 balancer, monotonic_time now);
+
+	/// Returns the load to report now.
+	[[nodiscard]] load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now);
+
+	/// Returns whether a report is due to all balancers, and notes it as sent.
+	[[nodiscard]] bool load_report_due(agent_state& state, const load_report& report, std::uint32_t slots,
+									   monotonic_time now);
+
+	/// Forgets idle flows and balancers that have not been heard of.
+	void forget_idle(agent_state& state, const catalog& known, monotonic_time now);
+}
--- /dev/null
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "nutmegturn/steering/message.hpp"
+#include "nutmegturn/steering/upstream_choice.hpp"
+
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegturn::steering
+{
+	/// What a balancer remembers of a flow. All of it can be lost: a search finds the holder again.
+	struct balancer_flow
+	{
+		ipv4 holder{};                     ///< Agent's instance; zero while a search is under way.
+		bool confirmed = false;            ///< The agent said that its upstream holds the flow.
+		bool opened_here = false;          ///< The opening packet came through this process.
+		std::vector<ipv4> declined;        ///< Instances that did not take the opening packet.
+		std::vector<ipv4> unanswered;      ///< Instances that have not answered the search.
+		std::uint32_t acknowledgement = 0; ///< Newest one of the caller; a reset must be near it.
+		monotonic_time used;
+	};
+
+	/// Why a packet was answered with a reset or dropped.
+	enum class steering_reason : std::uint8_t
+	{
+		none,
+		no_route,      ///< No route has this address.
+		route_unknown, ///< No route has this address, but the configuration may be out of date.
+		no_upstream,   ///< No upstream of the service takes new flows.
+		all_declined,  ///< Every upstream that could take the flow declined it.
+		holder_gone,   ///< No upstream holds the flow any more.
+		malformed,
+		not_for_callers, ///< The packet was not sent by a caller.
+		table_full
+	};
+
+	/// Returns the name for logs and metrics.
+	[[nodiscard]] std::string_view to_string(steering_reason why) noexcept;
+
+	/// What to do with a packet.
+	struct steering_decision
+	{
+		enum class action : std::uint8_t
+		{
+			forward, ///< Send it to all of `agents` as `kind`.
+			reset,   ///< Reset the flow towards the caller.
+			drop
+		};
+
+		action what = action::drop;
+		message_kind kind = message_kind::carry;
+		service_key service{};
+		std::vector<ipv4> agents;
+		steering_reason why = steering_reason::none;
+	};
+
+	/// State of a balancer.
+	struct balancer_state
+	{
+		std::string zone;
+		std::unordered_map<flow_id, balancer_flow, flow_id_hash> flows;
+		load_table loads;
+	};
+
+	/// Largest number of flows that a balancer remembers. Beyond, flows are steered by search only.
+	inline constexpr std::size_t max_balancer_flows = 65'536;
+
+	/// Decides where a caller's packet goes.
+	///
+	/// Load pattern: packets of one flow may arrive at any balancer, at any time, after any restart. A flow whose
+	/// holder is unknown is searched at every upstream of the services that its route names or has named; only the
+	/// holder keeps the packet, so nothing needs to be remembered for correctness. \param current	Whether the
+	/// configuration is known to be up to date, so that an unknown route can be refused.
+	[[nodiscard]] steering_decision steer_packet(balancer_state& state, const catalog& known, const segment& it,
+												 monotonic_time now, bool current);
+
+	/// Takes an agent's message about a flow or its load.
+	/// \param agent	Instance of the sender.
+	/// \param packet	For `declined`: the opening packet, decoded.
+	/// \param complete	Whether the catalog is known to name all upstreams, so that a flow which none of them holds is
+	/// gone. \returns		For `declined`: where the opening packet goes next. For the last `not_held`: the reset of a
+	/// flow that
+	///					nobody holds. Otherwise a decision to drop, which needs no action.
+	[[nodiscard]] steering_decision take_agent_message(balancer_state& state, const catalog& known, const message& it,
+													   const segment* packet, ipv4 agent, monotonic_time now,
+													   bool complete);
+
+	/// Forgets flows that were idle for longer than flows may be.
+	void forget_idle_flows(balancer_state& state, const catalog& known, monotonic_time now);
+}
--- /dev/null
+++ b/include/nutmegturn/steering/ipv4.hpp
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "nutmegturn/endpoint.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace nutmegturn::steering
+{
+	/// IPv4 address in host byte order. The per-packet path uses this compact form of `address`.
+	enum class ipv4 : std::uint32_t
+	{
+	};
+
+	/// IPv4 address and port.
+	struct ipv4_endpoint
+	{
+		ipv4 ip{};
+		std::uint16_t port = 0;
+
+		/// Compares the address, then the port.
+		[[nodiscard]] friend constexpr auto operator<=>(const ipv4_endpoint&, const ipv4_endpoint&) noexcept = default;
+	};
+
+	/// Returns the compact form, or nothing for an IPv6 endpoint.
+	[[nodiscard]] std::optional<ipv4_endpoint> to_ipv4(const endpoint& ep) noexcept;
+
+	/// Parses `192.0.2.1:80`.
+	[[nodiscard]] std::optional<ipv4_endpoint> parse_ipv4_endpoint(std::string_view text);
+
+	/// Returns the general form, which the socket functions take.
+	[[nodiscard]] endpoint to_endpoint(const ipv4_endpoint& ep) noexcept;
+
+	/// \name Text forms
+	/// @{
+	[[nodiscard]] std::string to_string(ipv4 ip);
+	[[nodiscard]] std::string to_string(const ipv4_endpoint& ep);
+	/// @}
+}
--- /dev/null
+++ b/include/nutmegturn/steering/message.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "nutmegturn/steering/catalog.hpp"
+#include "nutmegturn/steering/segment.hpp"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace nutmegturn::steering
+{
+	/// Messages between balancers and agents. All fit in one datagram.
+	enum class message_kind : std::uint8_t
+	{
+		open = 1, ///< Balancer to agent: opening packet for the agent's upstream.
+		carry,    ///< Balancer to agent: packet of a flow that the upstream holds as far as the balancer knows.
+		search,   ///< Balancer to agents: packet of a flow whose holder the balancer does not know.
+		greeting, ///< Balancer to agent: asks for load reports.
+		held,     ///< Agent to balancer: the upstream holds the flow.
+		not_held, ///< Agent to balancer: the upstream does not hold the flow.
+		declined, ///< Agent to balancer: the upstream takes no opening packet now; carries that packet.
+		load      ///< Agent to balancer: load report without a flow.
+	};
+
+	/// Whether an agent takes opening packets, and if not, why.
+	enum class intake : std::uint8_t
+	{
+		open,
+		other_service,        ///< The agent's upstream belongs to another service.
+		draining,             ///< The upstream takes no new work.
+		evacuated,            ///< Its availability zone is evacuated.
+		cold,                 ///< It bears no more new flows at the moment.
+		full,                 ///< It returned opening packets.
+		upstream_unreachable, ///< It refuses or does not answer.
+		stopping              ///< The agent is about to end.
+	};
+
+	/// Returns the name for logs and metrics.
+	[[nodiscard]] std::string_view to_string(intake state) noexcept;
+
+	/// Load of an agent's upstream; part of every message from an agent.
+	struct load_report
+	{
+		intake state = intake::open;
+		std::uint16_t at_work = 0;    ///< Requests in progress, queued ones included.
+		std::uint16_t open_flows = 0; ///< Flows that it holds.
+		std::uint16_t cold_left = 0;  ///< New flows that it still bears in this second while it is cold.
+	};
+
+	/// Message between two processes. What a kind does not use stays at its default.
+	struct message
+	{
+		message_kind kind = message_kind::greeting;
+		service_key service{};             ///< open: service chosen for the flow.
+		std::uint64_t version = 0;         ///< Newest configuration that the sender knows.
+		flow_id flow;                      ///< held, not_held.
+		load_report load;                  ///< From agents.
+		std::span<const std::byte> packet; ///< open, carry, search, declined: the caller's packet.
+	};
+
+	/// Largest size of a message without its packet, in bytes.
+	inline constexpr std::size_t message_head_size = 40;
+
+	/// Writes a message.
+	/// \param out	At least `message_head_size` and the packet's size.
+	/// \returns	Bytes written.
+	std::size_t encode_message(const message& it, std::span<std::byte> out) noexcept;
+
+	/// Reads a message.
+	/// \returns	The message, whose packet points into `bytes`; nothing when it is malformed.
+	[[nodiscard]] std::optional<message> decode_message(std::span<const std::byte> bytes) noexcept;
+}
--- /dev/null
+++ b/include/nutmegturn/steering/records.hpp
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "nutmegturn/steering/ipv4.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace nutmegturn::steering
+{
+	using milliseconds = std::chrono::milliseconds;
+
+	/// What an upstream says of its readiness for new flows.
+	enum class upstream_readiness : std::uint8_t
+	{
+		ready,
+		draining
+	};
+
+	/// Entry by which an upstream announces itself.
+	struct upstream_entry
+	{
+		std::string service;
+		ipv4_endpoint address;
+		std::string zone;
+		std::uint32_t slots = 1; ///< Requests that it processes at the same time.
+		upstream_readiness readiness = upstream_readiness::ready;
+		milliseconds cold_remaining{0}; ///< Time until it bears its full load, counted from the entry's last change.
+		std::int64_t started_at_ms = 0; ///< Unix time of its start; tells two runs under one id apart.
+	};
+
+	/// Share of a route's new flows that go to a service.
+	struct weighted_service
+	{
+		std::string service;
+		std::uint32_t weight = 1;
+	};
+
+	/// Address at which callers reach one or more services.
+	struct route_record
+	{
+		ipv4_endpoint address;
+		std::vector<weighted_service> services;
+	};
+
+	/// What the operator publishes of a service.
+	struct service_record
+	{
+		std::string name;
+		milliseconds cold_time{0};        ///< How long an upstream bears less after its start.
+		double cold_requests_per_s = 0.0; ///< What it bears meanwhile; 0 means that no limit is published.
+	};
+
+	/// Configuration of the whole deployment.
+	struct configuration
+	{
+		std::uint64_t version = 0;
+		std::vector<route_record> routes;
+		std::vector<service_record> services;
+		milliseconds idle_timeout{0}; ///< A flow without packets for this long may be forgotten.
+	};
+
+	/// Order to send no new flow to an availability zone.
+	struct zone_evacuation
+	{
+		std::string zone;
+	};
+
+	/// The key was removed.
+	struct removed_record
+	{
+	};
+
+	/// The value cannot be used.
+	struct unreadable_record
+	{
+		std::string problem;
+	};
+
+	using record_value =
+		std::variant<removed_record, upstream_entry, configuration, zone_evacuation, unreadable_record>;
+
+	/// One key of the metadata store as it is after a change.
+	struct store_record
+	{
+		std::string key;
+		std::uint64_t revision = 0;
+		record_value value;
+	};
+}
--- /dev/null
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "nutmegturn/time.hpp"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace nutmegturn::steering
+{
+	/// Follows one group of keys of the metadata store: a full listing, then watches from its revision.
+	struct store_follower
+	{
+		/// What the next call is.
+		enum class step : std::uint8_t
+		{
+			list,
+			watch
+		};
+
+		step next = step::list;
+		std::string last_key;         ///< Last key of the page before; empty for the first page.
+		std::set<std::string> listed; ///< Keys of the listing so far.
+		std::uint64_t revision = 0;   ///< Everything up to this revision is known.
+		std::uint64_t first_page = 0; ///< Revision of the first page; pages are no snapshot.
+		bool listed_once = false;     ///< One whole listing has been read.
+		bool away = false;            ///< The last call failed.
+		std::uint32_t failures = 0;   ///< In a row.
+		monotonic_time answered;      ///< Last complete answer.
+		monotonic_time back;          ///< When the store answered again after a failure.
+		monotonic_time due;           ///< Earliest time of the next call.
+	};
+
+	/// How long the store may hold a watch without a change. Bounds how long a connection that went silent is trusted.
+	inline constexpr std::chrono::milliseconds watch_wait{4'000};
+
+	/// Time after which a call without an answer is given up, on top of what the store may wait.
+	inline constexpr std::chrono::milliseconds call_timeout{1'200};
+
+	/// Pause after a change before the next watch, so that changes in quick succession share a call.
+	inline constexpr std::chrono::milliseconds change_pause{250};
+
+	/// How long after its return the store's contents are still settling.
+	inline constexpr std::chrono::milliseconds settling_time{2'500};
+
+	/// Notes a complete page of a listing.
+	/// \param last_key	Last key of the page.
+	/// \param more		Whether another page follows.
+	/// \returns		Whether the listing is complete.
+	bool note_listing(store_follower& it, std::uint64_t revision, const std::string& last_key, bool more,
+					  monotonic_time now);
+
+	/// Notes a complete answer of a watch.
+	/// \param changed	Whether it had changes.
+	void note_watch(store_follower& it, std::uint64_t revision, bool changed, monotonic_time now);
+
+	/// Notes that the store no longer has the history since `revision`.
+	void note_history_gone(store_follower& it, monotonic_time now);
+
+	/// Notes a failed call.
+	/// \param jitter	Random value that spreads the next attempts of many processes.
+	void note_failure(store_follower& it, std::uint64_t jitter, monotonic_time now);
+
+	/// Returns whether entries that are missing may come back, because the store was out of reach shortly before.
+	[[nodiscard]] bool is_settling(const store_follower& it, monotonic_time now) noexcept;
+
+	/// Returns whether the store has answered recently enough to trust that nothing changed unnoticed.
+	[[nodiscard]] bool is_current(const store_follower& it, monotonic_time now) noexcept;
+}
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -1,10 +1,9 @@
 #include "nutmegturn/log.hpp"
 
-#include <QJsonDocument>
-#include <QJsonObject>
-
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
 
 #include <algorithm>
 #include <array>
@@ -51,11 +50,6 @@
 			append_escaped(out, quoted);
 			out += '"';
 		}
-
-		QString text_of(std::string_view text)
-		{
-			return QString::fromUtf8(text.data(), static_cast<qsizetype>(text.size()));
-		}
 	}
 
 	std::string_view to_string(log_level level) noexcept
@@ -99,21 +93,33 @@
 
 	std::string format_log_json(const log_event& event, wall_time at)
 	{
-		QJsonObject fields;
-		for (const auto& [key, value] : event.fields)
+		rapidjson::StringBuffer out;
+		rapidjson::Writer<rapidjson::StringBuffer> writer{out};
+		const auto put = [&writer](std::string_view key, std::string_view value)
+		{
+			writer.Key(key.data(), static_cast<rapidjson::SizeType>(key.size()));
+			writer.String(value.data(), static_cast<rapidjson::SizeType>(value.size()));
+		};
+		writer.StartObject();
+		put("event", event.name);
+		writer.Key("fields");
+		writer.StartObject();
+		for (const auto& [key, value] :
+			 std::map<std::string_view, std::string>(event.fields.begin(), event.fields.end()))
 		{
-			fields.insert(text_of(key), text_of(value));
+			put(key, value);
 		}
-		QJsonObject root{{"time", text_of(format_time(at))},
-						 {"level", text_of(to_string(event.level))},
-						 {"event", text_of(event.name)},
-						 {"text", text_of(event.text)},
-						 {"fields", fields}};
+		writer.EndObject();
+		put("level", to_string(event.level));
 		if (event.suppressed != 0)
 		{
-			root.insert("suppressed", static_cast<qint64>(event.suppressed));
+			writer.Key("suppressed");
+			writer.Uint64(event.suppressed);
 		}
-		return QJsonDocument{root}.toJson(QJsonDocument::Compact).toStdString();
+		put("text", event.text);
+		put("time", format_time(at));
+		writer.EndObject();
+		return {out.GetString(), out.GetSize()};
 	}
 
 	std::optional<std::uint64_t> log_limiter::admit(std::string_view name, monotonic_time now)
--- /dev/null
+++ b/src/node/agent_node.cpp
@@ -0,0 +1,323 @@
+#include "nutmegturn/steering/agent_flows.hpp"
+
+#include "node/node.hpp"
+#include "node/process_signals.hpp"
+#include "platform/packet_format.hpp"
+#include "runtime/udp.hpp"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <csignal>
+
+namespace nutmegturn::node
+{
+	namespace
+	{
+		using namespace std::chrono_literals;
+		using steering::agent_decision;
+		using steering::ipv4;
+		using steering::message;
+		using steering::message_kind;
+		using steering::segment;
+		using steering::to_endpoint;
+		using steering::to_ipv4;
+		using steering::to_string;
+
+		constexpr std::size_t batch_size = 64;
+		constexpr std::size_t datagram_size = 2'048;
+
+		/// Between checks whether a load report is due.
+		constexpr auto load_interval = 100ms;
+
+		/// Between sweeps for idle flows.
+		constexpr auto sweep_interval = 1s;
+
+		/// Time in which balancers learn that this agent stops before its packets are lost.
+		constexpr auto stop_notice = 50ms;
+
+		class agent_node
+		{
+		public:
+			agent_node(const steering::node_settings& settings, node_log& log)
+				: node_{settings, log}, status_{node_.loop, [this](std::string_view path) { return answer(path); }},
+				  signals_{node_.loop, [this](int signal) { on_signal(signal); }}
+			{
+				state_.gate.instance = settings.instance;
+				state_.gate.zone = settings.zone;
+				state_.gate.service = steering::key_of_service(settings.service);
+				state_.gate.started = node_.loop.now();
+			}
+
+			/// Opens the sockets.
+			/// \returns	Empty, or why it failed.
+			[[nodiscard]] std::string open()
+			{
+				const auto& settings = node_.settings;
+				auto peers = runtime::open_udp(to_endpoint({.ip = settings.instance, .port = settings.peer_port}));
+				auto outbound = runtime::open_udp(to_endpoint(settings.upstream_outbound));
+				auto upstream = runtime::connect_udp(to_endpoint(settings.upstream));
+				for (const auto* it : {&peers, &outbound, &upstream})
+				{
+					if (!has_value(*it))
+					{
+						return std::get<1>(*it);
+					}
+				}
+				peers_ = std::move(std::get<0>(peers));
+				outbound_ = std::move(std::get<0>(outbound));
+				upstream_ = std::move(std::get<0>(upstream));
+				to_peers_.emplace(peers_.get(), batch_size);
+				to_callers_.emplace(outbound_.get(), batch_size);
+				to_upstream_.emplace(upstream_.get(), batch_size);
+				if (!node_.loop.watch(peers_.get(), [this] { read_peers(); }) ||
+					!node_.loop.watch(outbound_.get(), [this] { read_outbound(); }) ||
+					!node_.loop.watch(upstream_.get(), [this] { read_refusals(); }))
+				{
+					return "epoll_ctl failed";
+				}
+				return status_.listen(to_endpoint(settings.readiness));
+			}
+
+			void run()
+			{
+				node_.loop.after_each_round([this] { flush(); });
+				node_.start();
+				report_load();
+				sweep();
+				node_.loop.run();
+			}
+
+		private:
+			[[nodiscard]] status_response answer(std::string_view path)
+			{
+				if (path == "/readyz")
+				{
+					return {.status = node_.loaded() && !state_.gate.stopping ? 200 : 503, .body = {}};
+				}
+				return {.status = 404, .body = {}};
+			}
+
+			void read_peers()
+			{
+				const auto n = batch_.receive(peers_.get());
+				for (std::size_t i = 0; i < n; ++i)
+				{
+					const auto it = steering::decode_message(batch_.payload(i));
+					const auto from = to_ipv4(batch_.source(i));
+					if (!it || !from)
+					{
+						continue;
+					}
+					if (it->kind == message_kind::greeting)
+					{
+						take_greeting(from->ip);
+						continue;
+					}
+					const auto packet = platform::decode_packet(it->packet);
+					if (packet)
+					{
+						carry_out(take_balancer_packet(state_, node_.known, *it, *packet, from->ip, node_.loop.now()),
+								  *packet, it->packet);
+					}
+				}
+			}
+
+			void take_greeting(ipv4 balancer)
+			{
+				const bool fresh = !state_.balancers.contains(balancer);
+				note_balancer(state_, balancer, node_.loop.now());
+				if (fresh)
+				{
+					send(balancer, message_kind::load, {}, make_load_report(state_, node_.known, node_.loop.now()), {});
+				}
+			}
+
+			void read_outbound()
+			{
+				const auto n = batch_.receive(outbound_.get());
+				for (std::size_t i = 0; i < n; ++i)
+				{
+					const auto bytes = batch_.payload(i);
+					const auto it = platform::decode_packet(bytes);
+					if (!it)
+					{
+						continue;
+					}
+					if (it->returned)
+					{
+						platform::clear_return_mark(bytes);
+					}
+					carry_out(take_upstream_packet(state_, *it, node_.loop.now()), *it, bytes);
+				}
+			}
+
+			void read_refusals()
+			{
+				char byte = 0;
+				const auto n = ::recv(upstream_.get(), &byte, 1, MSG_DONTWAIT);
+				if (n >= 0 || errno != ECONNREFUSED)
+				{
+					return;
+				}
+				const bool first = state_.gate.refused == monotonic_time{};
+				const auto resets = take_refusal(state_, node_.loop.now());
+				for (const auto& it : resets)
+				{
+					const auto bytes = platform::encode_reset(it.flow, it.sequence);
+					send_to_caller(it.flow.caller.ip, bytes);
+				}
+				if (first)
+				{
+					node_.log.write(log_level::warning, "upstream_refused",
+									"nothing listens at the upstream's port; its flows were reset",
+									{{"flows", std::to_string(resets.size())}});
+				}
+			}
+
+			void carry_out(const agent_decision& decision, const segment& it, std::span<const std::byte> bytes)
+			{
+				if (decision.deliver)
+				{
+					to_upstream_->add(to_endpoint(node_.settings.upstream), bytes);
+				}
+				if (decision.to_caller)
+				{
+					send_to_caller(it.destination.ip, bytes);
+				}
+				for (const auto& reply : decision.replies)
+				{
+					auto load = make_load_report(state_, node_.known, node_.loop.now());
+					if (reply.kind == message_kind::declined)
+					{
+						log_decline(reply);
+						load.state = load.state == steering::intake::open ? steering::intake::open : load.state;
+					}
+					send(reply.balancer, reply.kind, reply.flow, load,
+						 reply.with_packet ? bytes : std::span<const std::byte>{});
+				}
+			}
+
+			void log_decline(const steering::agent_reply& reply)
+			{
+				node_.log.write(
+					log_level::info, "flow_declined", "an opening packet went back to its balancer",
+					{{"flow", fmt::format("{}>{}", to_string(reply.flow.caller), to_string(reply.flow.route))},
+					 {"reason", std::string{to_string(reply.why)}},
+					 {"at_work", std::to_string(state_.at_work)},
+					 {"version", std::to_string(node_.known.version)}});
+			}
+
+			void send_to_caller(ipv4 caller, std::span<const std::byte> bytes)
+			{
+				to_callers_->add(to_endpoint({.ip = caller, .port = node_.settings.caller_packets.port}), bytes);
+			}
+
+			void send(ipv4 balancer, message_kind kind, const steering::flow_id& flow,
+					  const steering::load_report& load, std::span<const std::byte> packet)
+			{
+				const message it{.kind = kind,
+								 .service = {},
+								 .version = node_.known.version,
+								 .flow = flow,
+								 .load = load,
+								 .packet = packet};
+				const auto room = to_peers_->reserve(steering::message_head_size + packet.size());
+				const auto size = encode_message(it, room);
+				to_peers_->commit(to_endpoint({.ip = balancer, .port = node_.settings.peer_port}), size);
+			}
+
+			[[nodiscard]] std::uint32_t slots() const
+			{
+				const auto found = node_.known.by_service.find(state_.gate.service);
+				if (found != node_.known.by_service.end())
+				{
+					for (const auto* it : found->second)
+					{
+						if (it->entry.address.ip == node_.settings.instance)
+						{
+							return it->entry.slots;
+						}
+					}
+				}
+				return 1;
+			}
+
+			void report_load()
+			{
+				const auto now = node_.loop.now();
+				const auto report = make_load_report(state_, node_.known, now);
+				if (load_report_due(state_, report, slots(), now))
+				{
+					send_report(report);
+				}
+				node_.loop.at(now + load_interval, [this] { report_load(); });
+			}
+
+			void send_report(const steering::load_report& report)
+			{
+				for (const auto& [balancer, heard] : state_.balancers)
+				{
+					send(balancer, message_kind::load, {}, report, {});
+				}
+			}
+
+			void sweep()
+			{
+				forget_idle(state_, node_.known, node_.loop.now());
+				forget_former(node_.known, node_.loop.now());
+				node_.loop.at(node_.loop.now() + sweep_interval, [this] { sweep(); });
+			}
+
+			void on_signal(int signal)
+			{
+				if (signal == SIGHUP)
+				{
+					node_.log.write(log_level::info, "reload", "settings are read at the start only");
+					return;
+				}
+				if (state_.gate.stopping)
+				{
+					node_.loop.stop();
+					return;
+				}
+				state_.gate.stopping = true;
+				send_report(make_load_report(state_, node_.known, node_.loop.now()));
+				node_.log.write(log_level::info, "stopping", "balancers were told to place no new flows here");
+				node_.loop.at(node_.loop.now() + stop_notice, [this] { node_.loop.stop(); });
+			}
+
+			void flush()
+			{
+				to_upstream_->flush();
+				to_callers_->flush();
+				to_peers_->flush();
+			}
+
+			node node_;
+			steering::agent_state state_;
+			status_server status_;
+			process_signals signals_;
+			runtime::file_descriptor peers_;
+			runtime::file_descriptor outbound_;
+			runtime::file_descriptor upstream_;
+			runtime::receive_batch batch_{batch_size, datagram_size};
+			std::optional<runtime::send_batch> to_peers_;
+			std::optional<runtime::send_batch> to_callers_;
+			std::optional<runtime::send_batch> to_upstream_;
+		};
+	}
+
+	int run_agent(const steering::node_settings& settings, node_log& log)
+	{
+		agent_node agent{settings, log};
+		if (const auto why = agent.open(); !why.empty())
+		{
+			log.write(log_level::error, "start_failed", why);
+			return 1;
+		}
+		agent.run();
+		return 0;
+	}
+}
--- /dev/null
+++ b/src/node/balancer_node.cpp
@@ -0,0 +1,285 @@
+#include "nutmegturn/steering/balancer_flows.hpp"
+
+#include "node/node.hpp"
+#include "node/process_signals.hpp"
+#include "platform/packet_format.hpp"
+#include "runtime/udp.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+
+namespace nutmegturn::node
+{
+	namespace
+	{
+		using namespace std::chrono_literals;
+		using steering::ipv4;
+		using steering::message;
+		using steering::message_kind;
+		using steering::segment;
+		using steering::steering_decision;
+		using steering::to_endpoint;
+		using steering::to_ipv4;
+		using steering::to_string;
+
+		constexpr std::size_t batch_size = 64;
+		constexpr std::size_t datagram_size = 2'048;
+
+		/// Between greetings to agents, which keep their load reports coming.
+		constexpr auto greeting_interval = 1s;
+
+		/// A stopping balancer is out of rotation after two missed readiness checks, which come twice a second.
+		constexpr auto rotation_time = 1'200ms;
+
+		/// A stopping balancer ends when no packet of a caller has come for this long.
+		constexpr auto quiet_time = 300ms;
+
+		/// Kept between the planned end of the process and the kill.
+		constexpr auto stop_margin = 1'000ms;
+
+		class balancer_node
+		{
+		public:
+			balancer_node(const steering::node_settings& settings, node_log& log)
+				: node_{settings, log}, status_{node_.loop, [this](std::string_view path) { return answer(path); }},
+				  signals_{node_.loop, [this](int signal) { on_signal(signal); }}
+			{
+				state_.zone = settings.zone;
+			}
+
+			/// Opens the sockets.
+			/// \returns	Empty, or why it failed.
+			[[nodiscard]] std::string open()
+			{
+				const auto& settings = node_.settings;
+				auto callers = runtime::open_udp(to_endpoint(settings.caller_packets));
+				if (!has_value(callers))
+				{
+					return std::get<1>(callers);
+				}
+				auto peers = runtime::open_udp(to_endpoint({.ip = settings.instance, .port = settings.peer_port}));
+				if (!has_value(peers))
+				{
+					return std::get<1>(peers);
+				}
+				callers_ = std::move(std::get<0>(callers));
+				peers_ = std::move(std::get<0>(peers));
+				to_callers_.emplace(callers_.get(), batch_size);
+				to_peers_.emplace(peers_.get(), batch_size);
+				if (!node_.loop.watch(callers_.get(), [this] { read_callers(); }) ||
+					!node_.loop.watch(peers_.get(), [this] { read_peers(); }))
+				{
+					return "epoll_ctl failed";
+				}
+				return status_.listen(to_endpoint(settings.readiness));
+			}
+
+			void run()
+			{
+				node_.loop.after_each_round([this] { flush(); });
+				node_.start();
+				greet_agents();
+				node_.loop.run();
+			}
+
+		private:
+			[[nodiscard]] status_response answer(std::string_view path)
+			{
+				if (path == "/readyz")
+				{
+					const bool ready = node_.loaded() && !stopping_;
+					return {.status = ready ? 200 : 503, .body = {}};
+				}
+				return {.status = 404, .body = {}};
+			}
+
+			void read_callers()
+			{
+				last_packet_ = node_.loop.now();
+				const auto n = batch_.receive(callers_.get());
+				for (std::size_t i = 0; i < n; ++i)
+				{
+					const auto bytes = batch_.payload(i);
+					const auto it = platform::decode_packet(bytes);
+					if (!it || node_.known.version == 0)
+					{
+						continue;
+					}
+					const auto decision =
+						steer_packet(state_, node_.known, *it, node_.loop.now(), node_.configuration_current());
+					carry_out(decision, *it, bytes);
+				}
+			}
+
+			void read_peers()
+			{
+				const auto n = batch_.receive(peers_.get());
+				for (std::size_t i = 0; i < n; ++i)
+				{
+					const auto it = steering::decode_message(batch_.payload(i));
+					const auto from = to_ipv4(batch_.source(i));
+					if (it && from)
+					{
+						take_message(*it, from->ip);
+					}
+				}
+			}
+
+			void take_message(const message& it, ipv4 agent)
+			{
+				const auto packet = it.packet.empty() ? std::nullopt : platform::decode_packet(it.packet);
+				const auto decision = take_agent_message(state_, node_.known, it, packet ? &*packet : nullptr, agent,
+														 node_.loop.now(), node_.upstreams_complete());
+				if (packet)
+				{
+					carry_out(decision, *packet, it.packet);
+				}
+				else if (decision.what == steering_decision::action::reset)
+				{
+					const auto flow = state_.flows.find(it.flow);
+					reset(it.flow, flow == state_.flows.end() ? 0 : flow->second.acknowledgement, decision.why);
+				}
+			}
+
+			void carry_out(const steering_decision& decision, const segment& it, std::span<const std::byte> bytes)
+			{
+				switch (decision.what)
+				{
+					case steering_decision::action::forward:
+						forward(decision, bytes);
+						break;
+					case steering_decision::action::reset:
+						reset(flow_of_caller(it), it.opens ? 0 : it.acknowledgement, decision.why);
+						break;
+					case steering_decision::action::drop:
+						if (decision.why != steering::steering_reason::none)
+						{
+							log_flow(log_level::warning, "packet_dropped", "a packet was dropped", flow_of_caller(it),
+									 to_string(decision.why));
+						}
+						break;
+				}
+			}
+
+			void forward(const steering_decision& decision, std::span<const std::byte> bytes)
+			{
+				const message it{.kind = decision.kind,
+								 .service = decision.service,
+								 .version = node_.known.version,
+								 .flow = {},
+								 .load = {},
+								 .packet = bytes};
+				for (const auto agent : decision.agents)
+				{
+					send(agent, it);
+				}
+			}
+
+			void send(ipv4 agent, const message& it)
+			{
+				const auto room = to_peers_->reserve(steering::message_head_size + it.packet.size());
+				const auto size = encode_message(it, room);
+				to_peers_->commit(to_endpoint({.ip = agent, .port = node_.settings.peer_port}), size);
+			}
+
+			void reset(const steering::flow_id& flow, std::uint32_t sequence, steering::steering_reason why)
+			{
+				const auto bytes = platform::encode_reset(flow, sequence);
+				to_callers_->add(to_endpoint({.ip = flow.caller.ip, .port = node_.settings.caller_packets.port}),
+								 bytes);
+				log_flow(log_level::warning, "flow_reset", "a flow was reset towards its caller", flow, to_string(why));
+			}
+
+			void log_flow(log_level level, std::string_view event, std::string text, const steering::flow_id& flow,
+						  std::string_view why)
+			{
+				node_.log.write(level, event, std::move(text),
+								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+								 {"reason", std::string{why}},
+								 {"version", std::to_string(node_.known.version)}});
+			}
+
+			void greet_agents()
+			{
+				const message it{.kind = message_kind::greeting,
+								 .service = {},
+								 .version = node_.known.version,
+								 .flow = {},
+								 .load = {},
+								 .packet = {}};
+				for (const auto& [key, upstream] : node_.known.upstreams)
+				{
+					send(upstream.entry.address.ip, it);
+				}
+				forget_idle_flows(state_, node_.known, node_.loop.now());
+				forget_former(node_.known, node_.loop.now());
+				node_.loop.at(node_.loop.now() + greeting_interval, [this] { greet_agents(); });
+			}
+
+			void on_signal(int signal)
+			{
+				if (signal == SIGHUP)
+				{
+					node_.log.write(log_level::info, "reload", "settings are read at the start only");
+					return;
+				}
+				if (stopping_)
+				{
+					node_.loop.stop();
+					return;
+				}
+				stopping_ = true;
+				stop_asked_ = node_.loop.now();
+				node_.log.write(log_level::info, "stopping", "leaving the rotation before the end");
+				node_.loop.at(stop_asked_ + rotation_time, [this] { end_when_quiet(); });
+			}
+
+			void end_when_quiet()
+			{
+				const auto now = node_.loop.now();
+				const auto deadline = stop_asked_ + std::max<std::chrono::milliseconds>(
+														node_.settings.stop_grace - stop_margin, rotation_time);
+				if (now - last_packet_ >= quiet_time || now >= deadline)
+				{
+					node_.log.write(log_level::info, "stopped", "the process ends");
+					node_.loop.stop();
+					return;
+				}
+				node_.loop.at(std::min(last_packet_ + quiet_time, deadline), [this] { end_when_quiet(); });
+			}
+
+			void flush()
+			{
+				to_callers_->flush();
+				to_peers_->flush();
+			}
+
+			node node_;
+			steering::balancer_state state_;
+			status_server status_;
+			process_signals signals_;
+			runtime::file_descriptor callers_;
+			runtime::file_descriptor peers_;
+			runtime::receive_batch batch_{batch_size, datagram_size};
+			std::optional<runtime::send_batch> to_callers_;
+			std::optional<runtime::send_batch> to_peers_;
+			bool stopping_ = false;
+			monotonic_time stop_asked_;
+			monotonic_time last_packet_;
+		};
+	}
+
+	int run_balancer(const steering::node_settings& settings, node_log& log)
+	{
+		balancer_node balancer{settings, log};
+		if (const auto why = balancer.open(); !why.empty())
+		{
+			log.write(log_level::error, "start_failed", why);
+			return 1;
+		}
+		balancer.run();
+		return 0;
+	}
+}
--- /dev/null
+++ b/src/node/store_reader.cpp
@@ -0,0 +1,122 @@
+#include "node/store_reader.hpp"
+
+#include <fmt/format.h>
+
+namespace nutmegturn::node
+{
+	using steering::store_follower;
+
+	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& known, const endpoint& store,
+							   steering::record_group group, std::uint64_t seed)
+		: loop_{loop}, log_{log}, known_{known}, group_{group}, connection_{loop, store}, random_{seed}
+	{
+	}
+
+	void store_reader::start()
+	{
+		follower_.due = loop_.now();
+		call_when_due();
+	}
+
+	void store_reader::call_when_due()
+	{
+		if (follower_.due <= loop_.now())
+		{
+			call();
+			return;
+		}
+		loop_.at(follower_.due, [this] { call(); });
+	}
+
+	void store_reader::call()
+	{
+		++calls_;
+		const bool watch = follower_.next == store_follower::step::watch;
+		const auto target = watch ? platform::watch_target(group_, follower_.revision, steering::watch_wait)
+								  : platform::listing_target(group_, follower_.last_key);
+		const auto timeout = steering::call_timeout + (watch ? steering::watch_wait : steering::milliseconds{0});
+		connection_.get(target, timeout, [this](const http_outcome& outcome) { take_outcome(outcome); });
+	}
+
+	void store_reader::take_outcome(const http_outcome& outcome)
+	{
+		if (outcome.status == 0)
+		{
+			fail(outcome.error);
+			return;
+		}
+		const auto answer = platform::decode_answer(outcome.status, outcome.body);
+		switch (answer.how)
+		{
+			case platform::store_answer::outcome::complete:
+				if (follower_.away)
+				{
+					log_.write(log_level::info, "store_regained", "the metadata store answers again");
+				}
+				follower_.next == store_follower::step::list ? take_listing(answer) : take_watch(answer);
+				break;
+			case platform::store_answer::outcome::history_gone:
+				log_.write(log_level::info, "store_history_gone",
+						   "the watched history is gone; reading everything again",
+						   {{"revision", std::to_string(follower_.revision)}});
+				note_history_gone(follower_, loop_.now());
+				break;
+			case platform::store_answer::outcome::refused:
+			case platform::store_answer::outcome::malformed:
+				fail(fmt::format("status {}", answer.status));
+				return;
+		}
+		call_when_due();
+	}
+
+	void store_reader::take_listing(const platform::store_answer& answer)
+	{
+		const bool settling = is_settling(follower_, loop_.now());
+		std::string last_key;
+		for (const auto& it : answer.records)
+		{
+			apply(it);
+			follower_.listed.insert(it.key);
+			last_key = it.key;
+		}
+		if (note_listing(follower_, answer.revision, last_key, answer.more, loop_.now()))
+		{
+			steering::finish_listing(known_, group_, follower_.listed, loop_.now(), settling);
+			follower_.listed.clear();
+		}
+	}
+
+	void store_reader::take_watch(const platform::store_answer& answer)
+	{
+		for (const auto& it : answer.records)
+		{
+			apply(it);
+		}
+		note_watch(follower_, answer.revision, !answer.records.empty(), loop_.now());
+	}
+
+	void store_reader::apply(const steering::store_record& it)
+	{
+		const auto effect = apply_record(known_, it, loop_.now(), is_settling(follower_, loop_.now()));
+		if (effect == steering::record_effect::none)
+		{
+			return;
+		}
+		const auto* problem = std::get_if<steering::unreadable_record>(&it.value);
+		log_.write(
+			problem == nullptr ? log_level::info : log_level::warning, to_string(effect),
+			problem == nullptr ? "the metadata store changed" : problem->problem,
+			{{"key", it.key}, {"revision", std::to_string(it.revision)}, {"version", std::to_string(known_.version)}});
+	}
+
+	void store_reader::fail(const std::string& why)
+	{
+		if (!follower_.away)
+		{
+			log_.write(log_level::warning, "store_lost", "a call to the metadata store failed", {{"reason", why}});
+		}
+		connection_.close();
+		note_failure(follower_, random_(), loop_.now());
+		call_when_due();
+	}
+}
--- a/src/runtime/poller.cpp
+++ b/src/runtime/poller.cpp
@@ -24,6 +24,15 @@
 		return ::epoll_ctl(fd_.get(), EPOLL_CTL_ADD, fd, &event) == 0;
 	}
 
+	void poller::set_writable(int fd, std::uint64_t label, bool writable) noexcept
+	{
+		epoll_event event{};
+		event.events = EPOLLIN | (writable ? EPOLLOUT : 0U);
+		event.data.u64 = label;
+		// Fails only for a descriptor that is not watched, which has nothing to change.
+		[[maybe_unused]] const int changed = ::epoll_ctl(fd_.get(), EPOLL_CTL_MOD, fd, &event);
+	}
+
 	std::span<const epoll_event> poller::wait(std::chrono::nanoseconds most) noexcept
 	{
 		const auto ms = std::max<std::int64_t>(std::chrono::ceil<std::chrono::milliseconds>(most).count(), 0);
--- a/src/runtime/poller.hpp
+++ b/src/runtime/poller.hpp
@@ -24,6 +24,9 @@
 		/// \returns		Whether the system accepted it.
 		[[nodiscard]] bool add(int fd, std::uint64_t label) noexcept;
 
+		/// Changes whether a watched descriptor is also watched for writing.
+		void set_writable(int fd, std::uint64_t label, bool writable) noexcept;
+
 		/// Waits for readable descriptors.
 		/// \param most	Longest wait; rounded up to milliseconds.
 		/// \returns	Events whose `data.u64` is the label; valid until the next call.
--- a/src/runtime/udp.cpp
+++ b/src/runtime/udp.cpp
@@ -161,8 +161,9 @@
 		return ::setrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : before;
 	}
 
-	receive_batch::receive_batch(std::size_t capacity)
-		: storage_(capacity * buffer_size), addresses_(capacity), parts_(capacity), messages_(capacity)
+	receive_batch::receive_batch(std::size_t capacity, std::size_t buffer_size)
+		: buffer_size_{buffer_size}, storage_(capacity * buffer_size), addresses_(capacity), parts_(capacity),
+		  messages_(capacity)
 	{
 		for (std::size_t i = 0; i < capacity; ++i)
 		{
--- a/src/runtime/udp.hpp
+++ b/src/runtime/udp.hpp
@@ -58,8 +58,10 @@
 	{
 	public:
 		/// Allocates buffers.
-		/// \param capacity	Largest number of datagrams of one call.
-		explicit receive_batch(std::size_t capacity = 32);
+		/// \param capacity		Largest number of datagrams of one call.
+		/// \param buffer_size	Largest datagram that is read whole, in bytes. The default is larger than any UDP
+		/// payload.
+		explicit receive_batch(std::size_t capacity = 32, std::size_t buffer_size = 65'536);
 
 		/// Reads the datagrams that wait, up to the capacity; earlier payloads become invalid.
 		/// \returns	How many were read; 0 when none wait or the call failed.
@@ -68,7 +70,13 @@
 		/// Returns the bytes of datagram `index` of the last call.
 		[[nodiscard]] std::span<const std::byte> payload(std::size_t index) const noexcept
 		{
-			return {&storage_[index * buffer_size], messages_[index].msg_len};
+			return {&storage_[index * buffer_size_], messages_[index].msg_len};
+		}
+
+		/// Returns the bytes of datagram `index` of the last call for changes in place.
+		[[nodiscard]] std::span<std::byte> payload(std::size_t index) noexcept
+		{
+			return {&storage_[index * buffer_size_], messages_[index].msg_len};
 		}
 
 		/// Returns the sender of datagram `index` of the last call.
@@ -84,9 +92,7 @@
 		}
 
 	private:
-		/// Larger than any UDP payload, so that no datagram is cut.
-		static constexpr std::size_t buffer_size = 65'536;
-
+		std::size_t buffer_size_;
 		std::vector<std::byte> storage_;
 		std::vector<sockaddr_storage> addresses_;
 		std::vector<iovec> parts_;
--- /dev/null
+++ b/src/steering/agent_flows.cpp
@@ -0,0 +1,278 @@
+#include "nutmegturn/steering/agent_flows.hpp"
+
+#include <algorithm>
+#include <cstdlib>
+#include <limits>
+
+namespace nutmegturn::steering
+{
+	namespace
+	{
+		/// Longest silence between load reports to a balancer.
+		constexpr milliseconds report_interval{1'000};
+
+		/// Shortest time between two reports without a change of the intake.
+		constexpr milliseconds report_spacing{100};
+
+		/// A balancer that has sent nothing for this long gets no reports.
+		constexpr std::chrono::seconds balancer_retention{4};
+
+		/// A flow without packets for this long is forgotten even if no idle timeout is published.
+		constexpr std::chrono::seconds longest_idle{60};
+
+		/// A flow that both sides have closed is kept this long for late packets.
+		constexpr std::chrono::seconds closed_retention{1};
+
+		[[nodiscard]] bool is_closed(const agent_flow& flow) noexcept
+		{
+			return flow.caller_finished && flow.upstream_finished;
+		}
+
+		void set_at_work(agent_state& state, agent_flow& flow, bool at_work) noexcept
+		{
+			if (flow.at_work != at_work)
+			{
+				flow.at_work = at_work;
+				state.at_work += at_work ? 1 : std::size_t(-1);
+			}
+		}
+
+		void forget_flow(agent_state& state, const flow_id& id)
+		{
+			const auto found = state.flows.find(id);
+			if (found != state.flows.end())
+			{
+				set_at_work(state, found->second, false);
+				state.flows.erase(found);
+			}
+		}
+
+		/// Returns whether sequence `a` comes after `b`, across the wrap of 32 bits.
+		[[nodiscard]] bool is_after(std::uint32_t a, std::uint32_t b) noexcept
+		{
+			return static_cast<std::int32_t>(a - b) > 0;
+		}
+
+		/// Notes new data of the caller: a request is in progress until the upstream sends data.
+		void note_caller_data(agent_state& state, agent_flow& flow, const segment& it)
+		{
+			flow.acknowledgement = it.acknowledgement;
+			flow.caller_finished = flow.caller_finished || it.finishes;
+			const std::uint32_t end = it.sequence + it.payload_size;
+			if (it.payload_size > 0 && (!flow.tracked || is_after(end, flow.highest_sequence)))
+			{
+				flow.highest_sequence = end;
+				flow.tracked = true;
+				set_at_work(state, flow, true);
+			}
+		}
+
+		void add_asker(agent_flow& flow, ipv4 balancer)
+		{
+			if (std::ranges::find(flow.askers, balancer) == flow.askers.end())
+			{
+				flow.askers.push_back(balancer);
+			}
+		}
+
+		void answer_askers(agent_decision& decision, agent_flow& flow, const flow_id& id, message_kind kind, intake why,
+						   bool with_packet)
+		{
+			for (const auto balancer : flow.askers)
+			{
+				decision.replies.push_back(
+					{.balancer = balancer, .kind = kind, .flow = id, .why = why, .with_packet = with_packet});
+			}
+			flow.askers.clear();
+		}
+
+		[[nodiscard]] agent_flow* remember(agent_state& state, const flow_id& id, monotonic_time now)
+		{
+			const auto found = state.flows.find(id);
+			if (found == state.flows.end() && state.flows.size() >= max_agent_flows)
+			{
+				return nullptr;
+			}
+			auto& flow = found == state.flows.end() ? state.flows[id] : found->second;
+			flow.used = now;
+			return &flow;
+		}
+
+		[[nodiscard]] agent_decision take_opening(agent_state& state, const catalog& known, const message& it,
+												  const segment& packet, ipv4 balancer, monotonic_time now)
+		{
+			agent_decision decision;
+			const auto id = flow_of_caller(packet);
+			const bool copy = state.flows.contains(id);
+			const auto verdict =
+				copy ? intake::open : admit_opening(state.gate, known, it.service, it.version, packet.destination, now);
+			auto* flow = verdict == intake::open ? remember(state, id, now) : nullptr;
+			if (flow == nullptr)
+			{
+				decision.replies.push_back({.balancer = balancer,
+											.kind = message_kind::declined,
+											.flow = id,
+											.why = verdict == intake::open ? intake::full : verdict,
+											.with_packet = true});
+				return decision;
+			}
+			add_asker(*flow, balancer);
+			note_delivered(state.gate, now);
+			decision.deliver = true;
+			return decision;
+		}
+
+		[[nodiscard]] agent_decision take_return(agent_state& state, const segment& packet, monotonic_time now)
+		{
+			agent_decision decision;
+			const auto id = flow_of_caller(packet);
+			note_answered(state.gate, now);
+			const auto found = state.flows.find(id);
+			if (found == state.flows.end())
+			{
+				return decision;
+			}
+			if (packet.opens)
+			{
+				answer_askers(decision, found->second, id, message_kind::declined, intake::full, true);
+			}
+			else
+			{
+				answer_askers(decision, found->second, id, message_kind::not_held, intake::open, false);
+			}
+			forget_flow(state, id);
+			return decision;
+		}
+	}
+
+	agent_decision take_balancer_packet(agent_state& state, const catalog& known, const message& it,
+										const segment& packet, ipv4 balancer, monotonic_time now)
+	{
+		note_balancer(state, balancer, now);
+		if (it.kind == message_kind::open)
+		{
+			return take_opening(state, known, it, packet, balancer, now);
+		}
+		agent_decision decision;
+		decision.deliver = true;
+		const auto id = flow_of_caller(packet);
+		auto* flow = remember(state, id, now);
+		if (flow == nullptr)
+		{
+			return decision;
+		}
+		note_caller_data(state, *flow, packet);
+		if (flow->stage == flow_stage::asked)
+		{
+			add_asker(*flow, balancer);
+		}
+		else if (it.kind == message_kind::search)
+		{
+			decision.replies.push_back({.balancer = balancer,
+										.kind = message_kind::held,
+										.flow = id,
+										.why = intake::open,
+										.with_packet = false});
+		}
+		if (packet.resets)
+		{
+			forget_flow(state, id);
+		}
+		return decision;
+	}
+
+	agent_decision take_upstream_packet(agent_state& state, const segment& packet, monotonic_time now)
+	{
+		if (packet.returned)
+		{
+			return take_return(state, packet, now);
+		}
+		agent_decision decision;
+		decision.to_caller = true;
+		note_answered(state.gate, now);
+		const auto id = flow_of_upstream(packet);
+		auto* flow = remember(state, id, now);
+		if (flow == nullptr)
+		{
+			return decision;
+		}
+		if (packet.resets)
+		{
+			forget_flow(state, id);
+			return decision;
+		}
+		flow->stage = packet.opens ? std::max(flow->stage, flow_stage::half_open) : flow_stage::open;
+		if (packet.payload_size > 0 || packet.finishes)
+		{
+			set_at_work(state, *flow, false);
+		}
+		flow->upstream_finished = flow->upstream_finished || packet.finishes;
+		answer_askers(decision, *flow, id, message_kind::held, intake::open, false);
+		return decision;
+	}
+
+	std::vector<flow_reset> take_refusal(agent_state& state, monotonic_time now)
+	{
+		std::vector<flow_reset> resets;
+		for (const auto& [id, flow] : state.flows)
+		{
+			resets.push_back({.flow = id, .sequence = flow.acknowledgement});
+		}
+		state.flows.clear();
+		state.at_work = 0;
+		note_refused(state.gate, now);
+		return resets;
+	}
+
+	void note_balancer(agent_state& state, ipv4 balancer, monotonic_time now)
+	{
+		state.balancers[balancer] = now;
+	}
+
+	load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now)
+	{
+		constexpr std::size_t most = std::numeric_limits<std::uint16_t>::max();
+		load_report report;
+		report.state = current_intake(state.gate, known, now);
+		report.at_work = static_cast<std::uint16_t>(std::min(state.at_work, most));
+		const auto open_flows = static_cast<std::size_t>(
+			std::ranges::count_if(state.flows, [](const auto& it) { return !is_closed(it.second); }));
+		report.open_flows = static_cast<std::uint16_t>(std::min(open_flows, most));
+		report.cold_left = report.state == intake::cold ? cold_admissions_left(state.gate, known, now) : 0;
+		return report;
+	}
+
+	bool load_report_due(agent_state& state, const load_report& report, std::uint32_t slots, monotonic_time now)
+	{
+		const auto passed = now - state.last_sent_at;
+		const int change = std::abs(int{report.at_work} - int{state.last_sent.at_work});
+		const bool changed = change * 2 >= static_cast<int>(slots) || report.cold_left != state.last_sent.cold_left;
+		const bool due =
+			report.state != state.last_sent.state || passed >= report_interval || (changed && passed >= report_spacing);
+		if (due)
+		{
+			state.last_sent = report;
+			state.last_sent_at = now;
+		}
+		return due;
+	}
+
+	void forget_idle(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		const auto idle = known.idle_timeout.count() > 0 ? known.idle_timeout : milliseconds{longest_idle};
+		for (auto it = state.flows.begin(); it != state.flows.end();)
+		{
+			const auto silence = now - it->second.used;
+			if (silence > idle || (is_closed(it->second) && silence > closed_retention))
+			{
+				set_at_work(state, it->second, false);
+				it = state.flows.erase(it);
+			}
+			else
+			{
+				++it;
+			}
+		}
+		std::erase_if(state.balancers, [now](const auto& it) { return now - it.second > balancer_retention; });
+	}
+}
--- /dev/null
+++ b/src/steering/balancer_flows.cpp
@@ -0,0 +1,275 @@
+#include "nutmegturn/steering/balancer_flows.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace nutmegturn::steering
+{
+	namespace
+	{
+		constexpr std::array<std::string_view, 9> reason_names{"none",        "no_route",        "route_unknown",
+															   "no_upstream", "all_declined",    "holder_gone",
+															   "malformed",   "not_for_callers", "table_full"};
+
+		/// A flow without packets for this long is forgotten even if no idle timeout is published.
+		constexpr std::chrono::seconds longest_idle{60};
+
+		/// How many upstreams are tried with one opening packet.
+		constexpr std::size_t max_declined = 8;
+
+		[[nodiscard]] steering_decision give_up(steering_decision::action what, steering_reason why)
+		{
+			return {.what = what, .kind = {}, .service = {}, .agents = {}, .why = why};
+		}
+
+		[[nodiscard]] steering_decision forward(message_kind kind, service_key service, ipv4 agent)
+		{
+			return {.what = steering_decision::action::forward,
+					.kind = kind,
+					.service = service,
+					.agents = {agent},
+					.why = steering_reason::none};
+		}
+
+		/// Instances whose upstream may hold a flow of the route.
+		[[nodiscard]] std::vector<ipv4> possible_holders(const catalog& known, const known_route& route)
+		{
+			std::vector<ipv4> found;
+			const auto add = [&](service_key service)
+			{
+				const auto upstreams = known.by_service.find(service);
+				if (upstreams == known.by_service.end())
+				{
+					return;
+				}
+				for (const auto* it : upstreams->second)
+				{
+					if (std::ranges::find(found, it->entry.address.ip) == found.end())
+					{
+						found.push_back(it->entry.address.ip);
+					}
+				}
+			};
+			for (const auto& [service, weight] : route.services)
+			{
+				add(service);
+			}
+			for (const auto& [service, since] : route.former)
+			{
+				add(service);
+			}
+			return found;
+		}
+
+		void note_sent(balancer_state& state, ipv4 agent, monotonic_time now)
+		{
+			auto& load = state.loads[agent];
+			++load.sent_since;
+			if (load.unanswered_since == monotonic_time{} || now - load.unanswered_since > silence_penalty)
+			{
+				load.unanswered_since = now;
+			}
+		}
+
+		[[nodiscard]] steering_decision place(balancer_state& state, const catalog& known, const known_route& route,
+											  const flow_id& id, balancer_flow& flow, monotonic_time now)
+		{
+			const auto hash = hash_flow(id);
+			const auto service = choose_service(route, hash);
+			const auto* chosen =
+				flow.declined.size() < max_declined
+					? choose_upstream(known, service, state.loads, state.zone, flow.declined, hash, now)
+					: nullptr;
+			if (chosen == nullptr)
+			{
+				const auto why = flow.declined.empty() ? steering_reason::no_upstream : steering_reason::all_declined;
+				state.flows.erase(id);
+				return give_up(steering_decision::action::reset, why);
+			}
+			flow.holder = chosen->entry.address.ip;
+			flow.confirmed = false;
+			note_sent(state, flow.holder, now);
+			return forward(message_kind::open, service, flow.holder);
+		}
+
+		[[nodiscard]] steering_decision steer_opening(balancer_state& state, const catalog& known,
+													  const known_route& route, const segment& it, monotonic_time now)
+		{
+			const auto id = flow_of_caller(it);
+			if (route.services.empty())
+			{
+				return give_up(steering_decision::action::reset, steering_reason::no_upstream);
+			}
+			if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
+			{
+				return give_up(steering_decision::action::reset, steering_reason::table_full);
+			}
+			auto& flow = state.flows[id];
+			flow.used = now;
+			flow.opened_here = true;
+			if (flow.confirmed)
+			{
+				return forward(message_kind::open, choose_service(route, hash_flow(id)), flow.holder);
+			}
+			if (flow.holder != ipv4{})
+			{
+				// A copy came although the first choice had time to answer.
+				flow.declined.push_back(flow.holder);
+			}
+			auto decision = place(state, known, route, id, flow, now);
+			if (decision.what == steering_decision::action::reset && decision.why == steering_reason::all_declined)
+			{
+				// All have been asked and none has refused: start again with the copy.
+				auto& again = state.flows[id];
+				again.used = now;
+				again.opened_here = true;
+				return place(state, known, route, id, again, now);
+			}
+			return decision;
+		}
+
+		[[nodiscard]] steering_decision search(const catalog& known, const known_route& route, balancer_flow& flow)
+		{
+			auto holders = possible_holders(known, route);
+			if (holders.empty())
+			{
+				return give_up(steering_decision::action::drop, steering_reason::no_upstream);
+			}
+			if (flow.unanswered.empty())
+			{
+				// Later packets join the search, whose answers stay valid: a flow never moves to an upstream.
+				flow.unanswered = holders;
+			}
+			return {.what = steering_decision::action::forward,
+					.kind = message_kind::search,
+					.service = {},
+					.agents = std::move(holders),
+					.why = steering_reason::none};
+		}
+
+		void note_load(balancer_state& state, const message& it, ipv4 agent, monotonic_time now)
+		{
+			auto& load = state.loads[agent];
+			load.report = it.load;
+			load.reported = now;
+			load.sent_since = 0;
+			if (it.kind == message_kind::held || it.kind == message_kind::declined)
+			{
+				load.unanswered_since = {};
+			}
+		}
+
+		[[nodiscard]] steering_decision take_decline(balancer_state& state, const catalog& known, const segment& packet,
+													 ipv4 agent, monotonic_time now)
+		{
+			const auto id = flow_of_caller(packet);
+			const auto route = known.routes.find(packet.destination);
+			const auto found = state.flows.find(id);
+			if (route == known.routes.end() || route->second.services.empty())
+			{
+				return give_up(steering_decision::action::reset, steering_reason::no_route);
+			}
+			if (found == state.flows.end() || found->second.confirmed || found->second.holder != agent)
+			{
+				return {};
+			}
+			found->second.declined.push_back(agent);
+			return place(state, known, route->second, id, found->second, now);
+		}
+
+		[[nodiscard]] steering_decision take_absence(balancer_state& state, const flow_id& id, ipv4 agent,
+													 bool complete)
+		{
+			const auto found = state.flows.find(id);
+			if (found == state.flows.end())
+			{
+				return {};
+			}
+			auto& flow = found->second;
+			if (flow.holder == agent)
+			{
+				// The next packet is searched for.
+				flow.holder = {};
+				flow.confirmed = false;
+				return {};
+			}
+			const bool asked = std::erase(flow.unanswered, agent) > 0;
+			if (!asked || !flow.unanswered.empty() || flow.holder != ipv4{} || !complete)
+			{
+				return {};
+			}
+			return give_up(steering_decision::action::reset, steering_reason::holder_gone);
+		}
+	}
+
+	std::string_view to_string(steering_reason why) noexcept
+	{
+		return reason_names[static_cast<std::size_t>(why)];
+	}
+
+	steering_decision steer_packet(balancer_state& state, const catalog& known, const segment& it, monotonic_time now,
+								   bool current)
+	{
+		if (it.returned || (it.opens && it.acknowledges))
+		{
+			return give_up(steering_decision::action::drop, steering_reason::not_for_callers);
+		}
+		const auto route = known.routes.find(it.destination);
+		if (route == known.routes.end())
+		{
+			if (it.resets || !current)
+			{
+				return give_up(steering_decision::action::drop, steering_reason::route_unknown);
+			}
+			return give_up(steering_decision::action::reset, steering_reason::no_route);
+		}
+		if (it.opens)
+		{
+			return steer_opening(state, known, route->second, it, now);
+		}
+		if (state.flows.size() >= max_balancer_flows)
+		{
+			balancer_flow untracked;
+			return search(known, route->second, untracked);
+		}
+		auto& flow = state.flows[flow_of_caller(it)];
+		flow.used = now;
+		flow.acknowledgement = it.acknowledgement;
+		if (flow.holder != ipv4{})
+		{
+			return forward(message_kind::carry, {}, flow.holder);
+		}
+		return search(known, route->second, flow);
+	}
+
+	steering_decision take_agent_message(balancer_state& state, const catalog& known, const message& it,
+										 const segment* packet, ipv4 agent, monotonic_time now, bool complete)
+	{
+		note_load(state, it, agent, now);
+		if (it.kind == message_kind::held)
+		{
+			auto& flow = state.flows[it.flow];
+			flow.holder = agent;
+			flow.confirmed = true;
+			flow.used = now;
+			flow.declined.clear();
+			flow.unanswered.clear();
+			return {};
+		}
+		if (it.kind == message_kind::not_held)
+		{
+			return take_absence(state, it.flow, agent, complete);
+		}
+		if (it.kind == message_kind::declined && packet != nullptr)
+		{
+			return take_decline(state, known, *packet, agent, now);
+		}
+		return {};
+	}
+
+	void forget_idle_flows(balancer_state& state, const catalog& known, monotonic_time now)
+	{
+		const auto idle = known.idle_timeout.count() > 0 ? known.idle_timeout : milliseconds{longest_idle};
+		std::erase_if(state.flows, [&](const auto& it) { return now - it.second.used > idle; });
+	}
+}
--- /dev/null
+++ b/src/steering/catalog.cpp
@@ -0,0 +1,226 @@
+#include "nutmegturn/steering/catalog.hpp"
+
+#include "nutmegturn/impl/fixed_log2.hpp"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+
+namespace nutmegturn::steering
+{
+	namespace
+	{
+		constexpr std::array<std::string_view, 8> effect_names{
+			"none",       "upstream_added", "upstream_changed", "upstream_removed",
+			"configured", "zone_evacuated", "zone_returned",    "unreadable"};
+
+		void rebuild_index(catalog& known)
+		{
+			known.by_service.clear();
+			for (const auto& [key, it] : known.upstreams)
+			{
+				known.by_service[it.service].push_back(&it);
+			}
+		}
+
+		record_effect remove_record(catalog& known, const std::string& key, monotonic_time now, bool store_was_away)
+		{
+			if (const auto it = known.upstreams.find(key); it != known.upstreams.end())
+			{
+				if (!it->second.listed)
+				{
+					return record_effect::none;
+				}
+				it->second.listed = false;
+				it->second.removed = now;
+				it->second.accepts_until_anyway = store_was_away ? now + lapse_grace : now;
+				return record_effect::upstream_removed;
+			}
+			const auto zone = std::ranges::find(known.evacuated, key, [](const auto& it) { return it.second; });
+			if (zone != known.evacuated.end())
+			{
+				known.returned[zone->first] = now;
+				known.evacuated.erase(zone);
+				return record_effect::zone_returned;
+			}
+			return record_effect::none;
+		}
+
+		record_effect take_entry(catalog& known, const store_record& it, const upstream_entry& entry,
+								 monotonic_time now)
+		{
+			const auto found = known.upstreams.find(it.key);
+			const bool added = found == known.upstreams.end();
+			known.upstreams[it.key] = {.key = it.key,
+									   .entry = entry,
+									   .service = key_of_service(entry.service),
+									   .changed = now,
+									   .listed = true,
+									   .removed = {},
+									   .accepts_until_anyway = {}};
+			rebuild_index(known);
+			return added ? record_effect::upstream_added : record_effect::upstream_changed;
+		}
+
+		[[nodiscard]] known_route make_route(const route_record& it)
+		{
+			known_route made;
+			for (const auto& share : it.services)
+			{
+				if (share.weight > 0)
+				{
+					made.services.emplace_back(key_of_service(share.service), share.weight);
+					made.total_weight += share.weight;
+				}
+			}
+			return made;
+		}
+
+		/// Open flows of a service that a route no longer names stay there, so searches still include it.
+		void keep_former_services(known_route& made, const known_route& before, monotonic_time now)
+		{
+			made.former = before.former;
+			for (const auto& [service, weight] : before.services)
+			{
+				made.former[service] = now;
+			}
+			for (const auto& [service, weight] : made.services)
+			{
+				made.former.erase(service);
+			}
+		}
+
+		record_effect take_configuration(catalog& known, const configuration& it, monotonic_time now)
+		{
+			if (it.version <= known.version)
+			{
+				return record_effect::none;
+			}
+			std::map<ipv4_endpoint, known_route> routes;
+			for (const auto& record : it.routes)
+			{
+				auto made = make_route(record);
+				if (const auto before = known.routes.find(record.address); before != known.routes.end())
+				{
+					keep_former_services(made, before->second, now);
+				}
+				routes.insert_or_assign(record.address, std::move(made));
+			}
+			known.routes = std::move(routes);
+			known.services.clear();
+			for (const auto& service : it.services)
+			{
+				known.services[key_of_service(service.name)] = service;
+			}
+			known.version = it.version;
+			known.idle_timeout = it.idle_timeout;
+			return record_effect::configured;
+		}
+	}
+
+	service_key key_of_service(std::string_view name) noexcept
+	{
+		return service_key{static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()))};
+	}
+
+	std::string_view to_string(record_effect effect) noexcept
+	{
+		return effect_names[static_cast<std::size_t>(effect)];
+	}
+
+	record_effect apply_record(catalog& known, const store_record& it, monotonic_time now, bool store_was_away)
+	{
+		if (std::holds_alternative<removed_record>(it.value))
+		{
+			return remove_record(known, it.key, now, store_was_away);
+		}
+		if (const auto* entry = std::get_if<upstream_entry>(&it.value))
+		{
+			return take_entry(known, it, *entry, now);
+		}
+		if (const auto* config = std::get_if<configuration>(&it.value))
+		{
+			return take_configuration(known, *config, now);
+		}
+		if (const auto* order = std::get_if<zone_evacuation>(&it.value))
+		{
+			const bool added = known.evacuated.insert_or_assign(order->zone, it.key).second;
+			return added ? record_effect::zone_evacuated : record_effect::none;
+		}
+		// An upstream whose entry became unreadable is not used for new flows.
+		remove_record(known, it.key, now, false);
+		++known.unreadable;
+		return record_effect::unreadable;
+	}
+
+	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed, monotonic_time now,
+						bool store_was_away)
+	{
+		std::vector<std::string> gone;
+		if (group == record_group::upstreams)
+		{
+			for (const auto& [key, it] : known.upstreams)
+			{
+				gone.push_back(key);
+			}
+		}
+		else
+		{
+			for (const auto& [zone, key] : known.evacuated)
+			{
+				gone.push_back(key);
+			}
+		}
+		for (const auto& key : gone)
+		{
+			if (!listed.contains(key))
+			{
+				remove_record(known, key, now, store_was_away);
+			}
+		}
+	}
+
+	void forget_former(catalog& known, monotonic_time now)
+	{
+		const auto n =
+			std::erase_if(known.upstreams, [now](const auto& it)
+						  { return !it.second.listed && now - it.second.removed > former_upstream_retention; });
+		if (n > 0)
+		{
+			rebuild_index(known);
+		}
+		for (auto& [address, route] : known.routes)
+		{
+			std::erase_if(route.former, [now](const auto& it) { return now - it.second > former_upstream_retention; });
+		}
+	}
+
+	bool accepts_new_flows(const catalog& known, const known_upstream& it, monotonic_time now)
+	{
+		if (!it.listed && now >= it.accepts_until_anyway)
+		{
+			return false;
+		}
+		return it.entry.readiness == upstream_readiness::ready && !known.evacuated.contains(it.entry.zone);
+	}
+
+	bool is_cold(const known_upstream& it, monotonic_time now) noexcept
+	{
+		return now < it.changed + it.entry.cold_remaining;
+	}
+
+	service_key choose_service(const known_route& route, std::uint64_t hash) noexcept
+	{
+		auto draw = detail::mix_bits(hash) % std::max<std::uint64_t>(route.total_weight, 1);
+		for (const auto& [service, weight] : route.services)
+		{
+			if (draw < weight)
+			{
+				return service;
+			}
+			draw -= weight;
+		}
+		return route.services.front().first;
+	}
+}
--- /dev/null
+++ b/src/steering/message.cpp
@@ -0,0 +1,161 @@
+#include "nutmegturn/steering/message.hpp"
+
+#include <boost/endian/conversion.hpp>
+
+#include <algorithm>
+
+namespace nutmegturn::steering
+{
+	namespace
+	{
+		constexpr std::uint8_t magic = 0x4e;
+		constexpr std::size_t prefix_size = 10; ///< Magic, kind and configuration version.
+
+		constexpr std::array<std::string_view, 8> intake_names{
+			"open", "other_service", "draining", "evacuated", "cold", "full", "upstream_unreachable", "stopping"};
+
+		/// Writes fields one after the other in little-endian order.
+		struct writer
+		{
+			std::span<std::byte> out;
+			std::size_t used = 0;
+
+			template <typename T>
+			void put(T value) noexcept
+			{
+				boost::endian::endian_store<T, sizeof(T), boost::endian::order::little>(
+					reinterpret_cast<unsigned char*>(&out[used]), value);
+				used += sizeof(T);
+			}
+
+			void put(std::span<const std::byte> bytes) noexcept
+			{
+				std::ranges::copy(bytes, out.begin() + static_cast<std::ptrdiff_t>(used));
+				used += bytes.size();
+			}
+		};
+
+		/// Reads fields; the caller has checked the size.
+		struct reader
+		{
+			std::span<const std::byte> in;
+
+			template <typename T>
+			[[nodiscard]] T take() noexcept
+			{
+				const auto value = boost::endian::endian_load<T, sizeof(T), boost::endian::order::little>(
+					reinterpret_cast<const unsigned char*>(in.data()));
+				in = in.subspan(sizeof(T));
+				return value;
+			}
+		};
+
+		constexpr std::size_t load_size = 7;
+		constexpr std::size_t flow_size = 12;
+
+		[[nodiscard]] bool comes_from_agent(message_kind kind) noexcept
+		{
+			return kind >= message_kind::held;
+		}
+
+		[[nodiscard]] bool names_flow(message_kind kind) noexcept
+		{
+			return kind == message_kind::held || kind == message_kind::not_held;
+		}
+
+		/// Size of the fields between the prefix and the packet.
+		[[nodiscard]] std::size_t fields_size(message_kind kind) noexcept
+		{
+			return (comes_from_agent(kind) ? load_size : 0) + (names_flow(kind) ? flow_size : 0) +
+				   (kind == message_kind::open ? sizeof(std::uint32_t) : 0);
+		}
+
+		void put_endpoint(writer& out, const ipv4_endpoint& ep) noexcept
+		{
+			out.put(static_cast<std::uint32_t>(ep.ip));
+			out.put(ep.port);
+		}
+
+		[[nodiscard]] ipv4_endpoint take_endpoint(reader& in) noexcept
+		{
+			const auto ip = in.take<std::uint32_t>();
+			return {.ip = ipv4{ip}, .port = in.take<std::uint16_t>()};
+		}
+	}
+
+	std::string_view to_string(intake state) noexcept
+	{
+		return intake_names[static_cast<std::size_t>(state)];
+	}
+
+	std::size_t encode_message(const message& it, std::span<std::byte> out) noexcept
+	{
+		writer to{.out = out};
+		to.put(magic);
+		to.put(static_cast<std::uint8_t>(it.kind));
+		to.put(it.version);
+		if (it.kind == message_kind::open)
+		{
+			to.put(static_cast<std::uint32_t>(it.service));
+		}
+		if (comes_from_agent(it.kind))
+		{
+			to.put(static_cast<std::uint8_t>(it.load.state));
+			to.put(it.load.at_work);
+			to.put(it.load.open_flows);
+			to.put(it.load.cold_left);
+		}
+		if (names_flow(it.kind))
+		{
+			put_endpoint(to, it.flow.caller);
+			put_endpoint(to, it.flow.route);
+		}
+		to.put(it.packet);
+		return to.used;
+	}
+
+	std::optional<message> decode_message(std::span<const std::byte> bytes) noexcept
+	{
+		reader in{.in = bytes};
+		if (bytes.size() < prefix_size || in.take<std::uint8_t>() != magic)
+		{
+			return std::nullopt;
+		}
+		const auto kind = in.take<std::uint8_t>();
+		if (kind < static_cast<std::uint8_t>(message_kind::open) ||
+			kind > static_cast<std::uint8_t>(message_kind::load))
+		{
+			return std::nullopt;
+		}
+		message it;
+		it.kind = message_kind{kind};
+		it.version = in.take<std::uint64_t>();
+		if (in.in.size() < fields_size(it.kind))
+		{
+			return std::nullopt;
+		}
+		if (it.kind == message_kind::open)
+		{
+			it.service = service_key{in.take<std::uint32_t>()};
+		}
+		if (comes_from_agent(it.kind))
+		{
+			const auto state = in.take<std::uint8_t>();
+			if (state >= intake_names.size())
+			{
+				return std::nullopt;
+			}
+			it.load.state = intake{state};
+			it.load.at_work = in.take<std::uint16_t>();
+			it.load.open_flows = in.take<std::uint16_t>();
+			it.load.cold_left = in.take<std::uint16_t>();
+		}
+		if (names_flow(it.kind))
+		{
+			it.flow.caller = take_endpoint(in);
+			it.flow.route = take_endpoint(in);
+		}
+		it.packet = in.in;
+		return it;
+	}
+}
--- /dev/null
+++ b/src/steering/upstream_choice.cpp
@@ -0,0 +1,84 @@
+#include "nutmegturn/steering/upstream_choice.hpp"
+
+#include <algorithm>
+#include <limits>
+
+namespace nutmegturn::steering
+{
+	namespace
+	{
+		/// Weight of an open flow against a request in progress.
+		constexpr double open_flow_weight = 0.03;
+
+		/// An upstream in its cold time processes requests more slowly.
+		constexpr double cold_factor = 1.6;
+
+		/// Added to the cost of an upstream that is used only if no other can take the flow.
+		constexpr double last_resort_cost = 1e6;
+
+		/// Added to the cost of an upstream in another zone.
+		constexpr double other_zone_cost = spill_load;
+
+		[[nodiscard]] bool is_silent(const upstream_load& it, monotonic_time now) noexcept
+		{
+			if (it.unanswered_since == monotonic_time{})
+			{
+				return false;
+			}
+			const auto waited = now - it.unanswered_since;
+			return waited > answer_timeout && waited < silence_penalty;
+		}
+
+		[[nodiscard]] double cost_of(const known_upstream& it, const load_table& loads, std::string_view zone,
+									 monotonic_time now)
+		{
+			double cost = it.entry.zone == zone ? 0.0 : other_zone_cost;
+			const auto found = loads.find(it.entry.address.ip);
+			if (found == loads.end())
+			{
+				return cost;
+			}
+			const auto& load = found->second;
+			const double busy = load.report.at_work + load.sent_since + open_flow_weight * load.report.open_flows;
+			cost += busy * (is_cold(it, now) ? cold_factor : 1.0) / std::max(it.entry.slots, 1U);
+			const bool out_of_tokens = load.report.state == intake::cold && load.sent_since >= load.report.cold_left;
+			const bool closed = load.report.state != intake::open && load.report.state != intake::cold;
+			if (closed || out_of_tokens || is_silent(load, now))
+			{
+				cost += last_resort_cost;
+			}
+			return cost;
+		}
+	}
+
+	const known_upstream* choose_upstream(const catalog& known, service_key service, const load_table& loads,
+										  std::string_view zone, std::span<const ipv4> declined, std::uint64_t hash,
+										  monotonic_time now)
+	{
+		const auto found = known.by_service.find(service);
+		if (found == known.by_service.end())
+		{
+			return nullptr;
+		}
+		const known_upstream* best = nullptr;
+		double lowest = std::numeric_limits<double>::max();
+		std::uint64_t best_rank = 0;
+		for (const auto* it : found->second)
+		{
+			const bool tried = std::ranges::find(declined, it->entry.address.ip) != declined.end();
+			if (tried || !accepts_new_flows(known, *it, now))
+			{
+				continue;
+			}
+			const double cost = cost_of(*it, loads, zone, now);
+			const auto rank = detail::mix_bits(hash ^ static_cast<std::uint32_t>(it->entry.address.ip));
+			if (cost < lowest || (cost == lowest && rank > best_rank))
+			{
+				best = it;
+				lowest = cost;
+				best_rank = rank;
+			}
+		}
+		return best;
+	}
+}
