Search for a flow at every upstream while older flows may be unknown

Cause: a balancer that starts after a route's weights changed knows only the services that the route names now.

Change: during the first 60 s of a balancer, the age that a flow can reach, a search asks all upstreams. An agent that was there when the deployment first started knows all flows and answers without asking its upstream.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -58,6 +58,7 @@
 	struct agent_state
 	{
 		upstream_gate gate;
+		bool knows_all_flows = false; ///< No flow of the upstream can be older than this process.
 		std::unordered_map<flow_id, agent_flow, flow_id_hash> flows;
 		std::size_t at_work = 0;                            ///< Flows with a request in progress.
 		std::unordered_map<ipv4, monotonic_time> balancers; ///< Balancers by the time of their last message.
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -58,6 +58,7 @@
 	struct balancer_state
 	{
 		std::string zone;
+		monotonic_time started; ///< Start of the process.
 		std::unordered_map<flow_id, balancer_flow, flow_id_hash> flows;
 		load_table loads;
 	};
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -47,6 +47,7 @@
 				  signals_{node_.loop, [this](int signal) { on_signal(signal); }}
 			{
 				state_.zone = settings.zone;
+				state_.started = node_.loop.now();
 			}
 
 			/// Opens the sockets.
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -154,8 +154,17 @@
 			return take_opening(state, known, it, packet, balancer, now);
 		}
 		agent_decision decision;
-		decision.deliver = true;
 		const auto id = flow_of_caller(packet);
+		if (it.kind == message_kind::search && state.knows_all_flows && !state.flows.contains(id))
+		{
+			decision.replies.push_back({.balancer = balancer,
+										.kind = message_kind::not_held,
+										.flow = id,
+										.why = intake::open,
+										.with_packet = false});
+			return decision;
+		}
+		decision.deliver = true;
 		auto* flow = remember(state, id, now);
 		if (flow == nullptr)
 		{
@@ -194,6 +203,7 @@
 		auto* flow = remember(state, id, now);
 		if (flow == nullptr)
 		{
+			state.knows_all_flows = false;
 			return decision;
 		}
 		if (packet.resets)
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -31,32 +31,32 @@
 					.why = steering_reason::none};
 		}
 
-		/// Instances whose upstream may hold a flow of the route.
-		[[nodiscard]] std::vector<ipv4> possible_holders(const catalog& known, const known_route& route)
+		void add_instances(std::vector<ipv4>& found, const std::vector<const known_upstream*>& upstreams)
 		{
-			std::vector<ipv4> found;
-			const auto add = [&](service_key service)
+			for (const auto* it : upstreams)
 			{
-				const auto upstreams = known.by_service.find(service);
-				if (upstreams == known.by_service.end())
-				{
-					return;
-				}
-				for (const auto* it : upstreams->second)
+				if (std::ranges::find(found, it->entry.address.ip) == found.end())
 				{
-					if (std::ranges::find(found, it->entry.address.ip) == found.end())
-					{
-						found.push_back(it->entry.address.ip);
-					}
+					found.push_back(it->entry.address.ip);
 				}
-			};
-			for (const auto& [service, weight] : route.services)
-			{
-				add(service);
 			}
-			for (const auto& [service, since] : route.former)
+		}
+
+		/// Instances whose upstream may hold a flow of the route. A process cannot know which services the route named
+		/// before it started, so as long as such a flow can be open it asks all.
+		[[nodiscard]] std::vector<ipv4> possible_holders(const balancer_state& state, const catalog& known,
+														 const known_route& route, monotonic_time now)
+		{
+			const bool all = now - state.started < former_upstream_retention;
+			std::vector<ipv4> found;
+			for (const auto& [service, upstreams] : known.by_service)
 			{
-				add(service);
+				const bool named = std::ranges::any_of(route.services,
+													   [id = service](const auto& share) { return share.first == id; });
+				if (all || named || route.former.contains(service))
+				{
+					add_instances(found, upstreams);
+				}
 			}
 			return found;
 		}
@@ -128,9 +128,10 @@
 			return decision;
 		}
 
-		[[nodiscard]] steering_decision search(const catalog& known, const known_route& route, balancer_flow& flow)
+		[[nodiscard]] steering_decision search(const balancer_state& state, const catalog& known,
+											   const known_route& route, balancer_flow& flow, monotonic_time now)
 		{
-			auto holders = possible_holders(known, route);
+			auto holders = possible_holders(state, known, route, now);
 			if (holders.empty())
 			{
 				return give_up(steering_decision::action::drop, steering_reason::no_upstream);
@@ -230,7 +231,7 @@
 		if (state.flows.size() >= max_balancer_flows)
 		{
 			balancer_flow untracked;
-			return search(known, route->second, untracked);
+			return search(state, known, route->second, untracked, now);
 		}
 		auto& flow = state.flows[flow_of_caller(it)];
 		flow.used = now;
@@ -239,7 +240,7 @@
 		{
 			return forward(message_kind::carry, {}, flow.holder);
 		}
-		return search(known, route->second, flow);
+		return search(state, known, route->second, flow, now);
 	}
 
 	steering_decision take_agent_message(balancer_state& state, const catalog& known, const message& it,
