--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -102,6 +102,10 @@
 		{
 			return;
 		}
+		if (effect == steering::record_effect::configured)
+		{
+			log_cold_rates();
+		}
 		const auto* problem = std::get_if<steering::unreadable_record>(&it.value);
 		log_.write(
 			problem == nullptr ? log_level::info : log_level::warning, to_string(effect),
@@ -109,6 +113,17 @@
 			{{"key", it.key}, {"revision", std::to_string(it.revision)}, {"version", std::to_string(known_.version)}});
 	}
 
+	void store_reader::log_cold_rates()
+	{
+		for (const auto& [key, service] : known_.services)
+		{
+			log_.write(log_level::info, "service_configured", "limits of a service while its upstreams are cold",
+					   {{"service", service.name},
+						{"cold_ms", std::to_string(service.cold_time.count())},
+						{"cold_requests_per_s", fmt::format("{}", service.cold_requests_per_s)}});
+		}
+	}
+
 	void store_reader::fail(const std::string& why)
 	{
 		if (!follower_.away)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -39,6 +39,7 @@
 		void take_outcome(const http_outcome& outcome);
 		void take_listing(const platform::store_answer& answer);
 		void take_watch(const platform::store_answer& answer);
+		void log_cold_rates();
 		void fail(const std::string& why);
 		void apply(const steering::store_record& it);
 
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -1,6 +1,7 @@
 #include "nutmegturn/steering/upstream_gate.hpp"
 
 #include <algorithm>
+#include <limits>
 
 namespace nutmegturn::steering
 {
@@ -70,6 +71,10 @@
 	{
 		const auto* service = own_service(gate, known);
 		const double rate = service == nullptr ? 0.0 : service->cold_requests_per_s;
+		if (rate <= 0.0)
+		{
+			return std::numeric_limits<std::uint16_t>::max();
+		}
 		const auto limit = static_cast<std::ptrdiff_t>(rate + cold_allowance);
 		const auto used =
 			std::ranges::count_if(gate.admissions, [now](monotonic_time at) { return now - at < admission_window; });
