Tell the balancers of a zone which upstream holds a flow

Two upstreams that both accepted an opening packet led to a flow whose packets went to the one that the caller had not chosen, without a word to the balancer.

Change: agents send flows as they open to the balancers of the caller's zone, and all of them to a balancer that starts, which is ready only after that. A flow is searched at most once in 100 ms. A packet that the upstream gives back returns to the balancer that sent it, which searches with it at once.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -27,6 +27,22 @@
 		std::uint32_t acknowledgement = 0;  ///< Newest one of the caller; a reset must be near it.
 		monotonic_time used;
 		std::vector<ipv4> askers; ///< Balancers that wait to hear whether the flow is held here.
+		ipv4 balancer{};          ///< The one that sent the last packet.
+		bool announced = false;   ///< The balancers of the caller's zone know that the flow is held here.
+	};
+
+	/// Balancer that sends greetings.
+	struct known_balancer
+	{
+		monotonic_time heard;
+		std::uint32_t zone = 0; ///< Key of its availability zone.
+	};
+
+	/// Flows of which balancers are to be told that they are held here.
+	struct holdings_notice
+	{
+		std::vector<ipv4> balancers;
+		std::vector<flow_id> flows;
 	};
 
 	/// Message for a balancer.
@@ -61,7 +77,7 @@
 		bool knows_all_flows = false; ///< No flow of the upstream can be older than this process.
 		std::unordered_map<flow_id, agent_flow, flow_id_hash> flows;
 		std::size_t at_work = 0;                            ///< Flows with a request in progress.
-		std::unordered_map<ipv4, monotonic_time> balancers; ///< Balancers by the time of their last message.
+		std::unordered_map<ipv4, known_balancer> balancers; ///< By instance.
 		load_report last_sent;
 		monotonic_time last_sent_at;
 	};
@@ -81,7 +97,15 @@
 	[[nodiscard]] std::vector<flow_reset> take_refusal(agent_state& state, monotonic_time now);
 
 	/// Notes a balancer that wants load reports.
-	void note_balancer(agent_state& state, ipv4 balancer, monotonic_time now);
+	/// \returns	For one that knows no flows yet: the flows of its zone that are held here.
+	[[nodiscard]] holdings_notice take_greeting(agent_state& state, const message& it, ipv4 balancer,
+												monotonic_time now);
+
+	/// Returns the flows that were opened since the last call, for the balancers of their callers' zones.
+	///
+	/// Load pattern: the fabric hashes over the balancers in rotation, so each balancer that stops or starts moves nearly
+	/// all flows of its zone to other balancers. Those know the holder already and need no search.
+	[[nodiscard]] std::vector<holdings_notice> collect_new_holdings(agent_state& state);
 
 	/// Returns the load to report now.
 	[[nodiscard]] load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now);
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -17,6 +17,7 @@
 		std::vector<ipv4> declined;        ///< Instances that did not take the opening packet.
 		std::vector<ipv4> unanswered;      ///< Instances that have not answered the search.
 		std::uint32_t acknowledgement = 0; ///< Newest one of the caller; a reset must be near it.
+		monotonic_time searched{}; ///< When the last search was sent.
 		monotonic_time used;
 	};
 
@@ -29,6 +30,7 @@
 		no_upstream,   ///< No upstream of the service takes new flows.
 		all_declined,  ///< Every upstream that could take the flow declined it.
 		holder_gone,   ///< No upstream holds the flow any more.
+		search_pending,  ///< A search for the flow's holder is under way.
 		malformed,
 		not_for_callers, ///< The packet was not sent by a caller.
 		table_full
@@ -77,7 +79,7 @@
 
 	/// Takes an agent's message about a flow or its load.
 	/// \param agent	Instance of the sender.
-	/// \param packet	For `declined`: the opening packet, decoded.
+	/// \param packet	For `declined` and `not_held`: the packet that the upstream did not take, decoded.
 	/// \param complete	Whether the catalog is known to name all upstreams, so that a flow which none of them holds is
 	/// gone. \returns		For `declined`: where the opening packet goes next. For the last `not_held`: the reset of a
 	/// flow that
@@ -86,6 +88,6 @@
 													   const segment* packet, ipv4 agent, monotonic_time now,
 													   bool complete);
 
-	/// Forgets flows that were idle for longer than flows may be.
-	void forget_idle_flows(balancer_state& state, const catalog& known, monotonic_time now);
+	/// Forgets flows of which nothing was heard for as long as a flow can live.
+	void forget_idle_flows(balancer_state& state, monotonic_time now);
 }
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <vector>
 
 namespace nutmegturn::steering
 {
@@ -17,11 +18,12 @@
 		open = 1, ///< Balancer to agent: opening packet for the agent's upstream.
 		carry,    ///< Balancer to agent: packet of a flow that the upstream holds as far as the balancer knows.
 		search,   ///< Balancer to agents: packet of a flow whose holder the balancer does not know.
-		greeting, ///< Balancer to agent: asks for load reports.
+		greeting, ///< Balancer to agent: asks for load reports and for the flows of the balancer's zone.
 		held,     ///< Agent to balancer: the upstream holds the flow.
 		not_held, ///< Agent to balancer: the upstream does not hold the flow.
 		declined, ///< Agent to balancer: the upstream takes no opening packet now; carries that packet.
-		load      ///< Agent to balancer: load report without a flow.
+		load,     ///< Agent to balancer: load report without a flow.
+		holdings  ///< Agent to the balancers of a zone: flows of that zone that the upstream holds.
 	};
 
 	/// Whether an agent takes opening packets, and if not, why.
@@ -57,9 +59,29 @@
 		std::uint64_t version = 0;         ///< Newest configuration that the sender knows.
 		flow_id flow;                      ///< held, not_held.
 		load_report load;                  ///< From agents.
-		std::span<const std::byte> packet; ///< open, carry, search, declined: the caller's packet.
+		std::uint32_t zone = 0;    ///< greeting: key of the balancer's availability zone.
+		bool fresh = false;        ///< greeting: the balancer has just started and knows no flows.
+
+		/// open, carry, search, declined, not_held: the caller's packet. holdings: encoded flows.
+		std::span<const std::byte> packet;
 	};
 
+	/// Size of an encoded flow in a `holdings` message, in bytes.
+	inline constexpr std::size_t encoded_flow_size = 12;
+
+	/// Largest number of flows in one `holdings` message, so that it fits in a usual datagram.
+	inline constexpr std::size_t max_holdings = 100;
+
+	/// Writes flows for a `holdings` message.
+	/// \param out	At least `encoded_flow_size` bytes a flow.
+	void encode_flows(std::span<const flow_id> flows, std::span<std::byte> out) noexcept;
+
+	/// Reads the flows of a `holdings` message; bytes after the last whole flow are ignored.
+	[[nodiscard]] std::vector<flow_id> decode_flows(std::span<const std::byte> bytes);
+
+	/// Returns the key of an availability zone.
+	[[nodiscard]] std::uint32_t key_of_zone(std::string_view name) noexcept;
+
 	/// Largest size of a message without its packet, in bytes.
 	inline constexpr std::size_t message_head_size = 40;
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -8,6 +8,8 @@
 #include <fmt/format.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <csignal>
 
@@ -113,7 +115,7 @@
 					}
 					if (it->kind == message_kind::greeting)
 					{
-						take_greeting(from->ip);
+						greet(*it, from->ip);
 						continue;
 					}
 					const auto packet = platform::decode_packet(it->packet);
@@ -125,16 +127,34 @@
 				}
 			}
 
-			void take_greeting(ipv4 balancer)
+			void greet(const message& it, ipv4 balancer)
 			{
-				const bool fresh = !state_.balancers.contains(balancer);
-				note_balancer(state_, balancer, node_.loop.now());
-				if (fresh)
+				const bool unknown = !state_.balancers.contains(balancer);
+				send_holdings(take_greeting(state_, it, balancer, node_.loop.now()));
+				if (unknown || it.fresh)
 				{
 					send(balancer, message_kind::load, {}, make_load_report(state_, node_.known, node_.loop.now()), {});
 				}
 			}
 
+			void send_holdings(const steering::holdings_notice& notice)
+			{
+				std::array<std::byte, steering::max_holdings * steering::encoded_flow_size> encoded{};
+				const auto load = make_load_report(state_, node_.known, node_.loop.now());
+				std::span<const steering::flow_id> rest = notice.flows;
+				while (!rest.empty())
+				{
+					const auto part = rest.first(std::min(rest.size(), steering::max_holdings));
+					encode_flows(part, encoded);
+					rest = rest.subspan(part.size());
+					for (const auto balancer : notice.balancers)
+					{
+						send(balancer, message_kind::holdings, {}, load,
+							 std::span{encoded}.first(part.size() * steering::encoded_flow_size));
+					}
+				}
+			}
+
 			void read_outbound()
 			{
 				const auto n = batch_.receive(outbound_.get());
@@ -189,11 +209,10 @@
 				}
 				for (const auto& reply : decision.replies)
 				{
-					auto load = make_load_report(state_, node_.known, node_.loop.now());
+					const auto load = make_load_report(state_, node_.known, node_.loop.now());
 					if (reply.kind == message_kind::declined)
 					{
 						log_decline(reply);
-						load.state = load.state == steering::intake::open ? steering::intake::open : load.state;
 					}
 					send(reply.balancer, reply.kind, reply.flow, load,
 						 reply.with_packet ? bytes : std::span<const std::byte>{});
@@ -218,12 +237,12 @@
 			void send(ipv4 balancer, message_kind kind, const steering::flow_id& flow,
 					  const steering::load_report& load, std::span<const std::byte> packet)
 			{
-				const message it{.kind = kind,
-								 .service = {},
-								 .version = node_.known.version,
-								 .flow = flow,
-								 .load = load,
-								 .packet = packet};
+				message it;
+				it.kind = kind;
+				it.version = node_.known.version;
+				it.flow = flow;
+				it.load = load;
+				it.packet = packet;
 				const auto room = to_peers_->reserve(steering::message_head_size + packet.size());
 				const auto size = encode_message(it, room);
 				to_peers_->commit(to_endpoint({.ip = balancer, .port = node_.settings.peer_port}), size);
@@ -248,6 +267,10 @@
 			void report_load()
 			{
 				const auto now = node_.loop.now();
+				for (const auto& notice : collect_new_holdings(state_))
+				{
+					send_holdings(notice);
+				}
 				const auto report = make_load_report(state_, node_.known, now);
 				if (load_report_due(state_, report, slots(), now))
 				{
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -27,9 +27,15 @@
 		constexpr std::size_t batch_size = 64;
 		constexpr std::size_t datagram_size = 2'048;
 
+		/// Between checks of whether the catalog has been read.
+		constexpr auto load_check_interval = 20ms;
+
 		/// Between greetings to agents, which keep their load reports coming.
 		constexpr auto greeting_interval = 1s;
 
+		/// A new balancer waits this long for the flows of its zone before it takes packets of callers.
+		constexpr auto learning_time = 150ms;
+
 		/// A stopping balancer is out of rotation after two missed readiness checks, which come twice a second.
 		constexpr auto rotation_time = 1'200ms;
 
@@ -81,7 +87,7 @@
 			{
 				node_.loop.after_each_round([this] { flush(); });
 				node_.start();
-				greet_agents();
+				greet_when_loaded();
 				node_.loop.run();
 			}
 
@@ -90,7 +96,8 @@
 			{
 				if (path == "/readyz")
 				{
-					const bool ready = node_.loaded() && !stopping_;
+					const bool learned = greeted_ && node_.loop.now() - *greeted_ >= learning_time;
+					const bool ready = learned && !stopping_;
 					return {.status = ready ? 200 : 503, .body = {}};
 				}
 				return {.status = 404, .body = {}};
@@ -130,7 +137,8 @@
 
 			void take_message(const message& it, ipv4 agent)
 			{
-				const auto packet = it.packet.empty() ? std::nullopt : platform::decode_packet(it.packet);
+				const bool carries_packet = it.kind != message_kind::holdings && !it.packet.empty();
+				const auto packet = carries_packet ? platform::decode_packet(it.packet) : std::nullopt;
 				const auto decision = take_agent_message(state_, node_.known, it, packet ? &*packet : nullptr, agent,
 														 node_.loop.now(), node_.upstreams_complete());
 				if (packet)
@@ -166,12 +174,11 @@
 
 			void forward(const steering_decision& decision, std::span<const std::byte> bytes)
 			{
-				const message it{.kind = decision.kind,
-								 .service = decision.service,
-								 .version = node_.known.version,
-								 .flow = {},
-								 .load = {},
-								 .packet = bytes};
+				message it;
+				it.kind = decision.kind;
+				it.service = decision.service;
+				it.version = node_.known.version;
+				it.packet = bytes;
 				for (const auto agent : decision.agents)
 				{
 					send(agent, it);
@@ -202,19 +209,29 @@
 								 {"version", std::to_string(node_.known.version)}});
 			}
 
+			/// Waits until the agents are known, so that their first greeting makes them send the flows of this zone.
+			void greet_when_loaded()
+			{
+				if (!node_.loaded())
+				{
+					node_.loop.at(node_.loop.now() + load_check_interval, [this] { greet_when_loaded(); });
+					return;
+				}
+				greet_agents();
+				greeted_ = node_.loop.now();
+			}
+
 			void greet_agents()
 			{
-				const message it{.kind = message_kind::greeting,
-								 .service = {},
-								 .version = node_.known.version,
-								 .flow = {},
-								 .load = {},
-								 .packet = {}};
+				message it;
+				it.version = node_.known.version;
+				it.zone = steering::key_of_zone(node_.settings.zone);
+				it.fresh = !greeted_;
 				for (const auto& [key, upstream] : node_.known.upstreams)
 				{
 					send(upstream.entry.address.ip, it);
 				}
-				forget_idle_flows(state_, node_.known, node_.loop.now());
+				forget_idle_flows(state_, node_.loop.now());
 				forget_former(node_.known, node_.loop.now());
 				node_.loop.at(node_.loop.now() + greeting_interval, [this] { greet_agents(); });
 			}
@@ -266,6 +283,7 @@
 			runtime::receive_batch batch_{batch_size, datagram_size};
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_peers_;
+			std::optional<monotonic_time> greeted_; ///< When the agents got the first greeting.
 			bool stopping_ = false;
 			monotonic_time stop_asked_;
 			monotonic_time last_packet_;
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <limits>
+#include <map>
 
 namespace nutmegturn::steering
 {
@@ -86,6 +87,13 @@
 			flow.askers.clear();
 		}
 
+		/// Zone of the balancer that sent the flow's last packet, which is the caller's zone but for outages.
+		[[nodiscard]] std::uint32_t zone_of_flow(const agent_state& state, const agent_flow& flow)
+		{
+			const auto found = state.balancers.find(flow.balancer);
+			return found == state.balancers.end() ? 0 : found->second.zone;
+		}
+
 		[[nodiscard]] agent_flow* remember(agent_state& state, const flow_id& id, monotonic_time now)
 		{
 			const auto found = state.flows.find(id);
@@ -117,6 +125,7 @@
 				return decision;
 			}
 			add_asker(*flow, balancer);
+			flow->balancer = balancer;
 			note_delivered(state.gate, now);
 			decision.deliver = true;
 			return decision;
@@ -138,7 +147,8 @@
 			}
 			else
 			{
-				answer_askers(decision, found->second, id, message_kind::not_held, intake::open, false);
+				add_asker(found->second, found->second.balancer);
+				answer_askers(decision, found->second, id, message_kind::not_held, intake::open, true);
 			}
 			forget_flow(state, id);
 			return decision;
@@ -148,7 +158,6 @@
 	agent_decision take_balancer_packet(agent_state& state, const catalog& known, const message& it,
 										const segment& packet, ipv4 balancer, monotonic_time now)
 	{
-		note_balancer(state, balancer, now);
 		if (it.kind == message_kind::open)
 		{
 			return take_opening(state, known, it, packet, balancer, now);
@@ -171,7 +180,8 @@
 			return decision;
 		}
 		note_caller_data(state, *flow, packet);
-		if (flow->stage == flow_stage::asked)
+		flow->balancer = balancer;
+		if (flow->stage != flow_stage::open)
 		{
 			add_asker(*flow, balancer);
 		}
@@ -234,9 +244,49 @@
 		return resets;
 	}
 
-	void note_balancer(agent_state& state, ipv4 balancer, monotonic_time now)
+	holdings_notice take_greeting(agent_state& state, const message& it, ipv4 balancer, monotonic_time now)
 	{
-		state.balancers[balancer] = now;
+		state.balancers[balancer] = {.heard = now, .zone = it.zone};
+		holdings_notice notice;
+		if (!it.fresh)
+		{
+			return notice;
+		}
+		notice.balancers.push_back(balancer);
+		for (const auto& [id, flow] : state.flows)
+		{
+			if (flow.stage == flow_stage::open && zone_of_flow(state, flow) == it.zone)
+			{
+				notice.flows.push_back(id);
+			}
+		}
+		return notice;
+	}
+
+	std::vector<holdings_notice> collect_new_holdings(agent_state& state)
+	{
+		std::map<std::uint32_t, holdings_notice> by_zone;
+		for (auto& [id, flow] : state.flows)
+		{
+			if (flow.stage == flow_stage::open && !flow.announced && !is_closed(flow))
+			{
+				flow.announced = true;
+				by_zone[zone_of_flow(state, flow)].flows.push_back(id);
+			}
+		}
+		std::vector<holdings_notice> notices;
+		for (auto& [zone, notice] : by_zone)
+		{
+			for (const auto& [balancer, it] : state.balancers)
+			{
+				if (it.zone == zone)
+				{
+					notice.balancers.push_back(balancer);
+				}
+			}
+			notices.push_back(std::move(notice));
+		}
+		return notices;
 	}
 
 	load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now)
@@ -283,6 +333,6 @@
 				++it;
 			}
 		}
-		std::erase_if(state.balancers, [now](const auto& it) { return now - it.second > balancer_retention; });
+		std::erase_if(state.balancers, [now](const auto& it) { return now - it.second.heard > balancer_retention; });
 	}
 }
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -7,13 +7,17 @@
 {
 	namespace
 	{
-		constexpr std::array<std::string_view, 9> reason_names{"none",        "no_route",        "route_unknown",
-															   "no_upstream", "all_declined",    "holder_gone",
-															   "malformed",   "not_for_callers", "table_full"};
+		constexpr std::array<std::string_view, 10> reason_names{
+			"none",        "no_route",       "route_unknown", "no_upstream",     "all_declined",
+			"holder_gone", "search_pending", "malformed",     "not_for_callers", "table_full"};
 
-		/// A flow without packets for this long is forgotten even if no idle timeout is published.
+		/// A flow without packets for this long is forgotten. Longer than an idle timeout, since the flow's packets may go
+		/// through another balancer.
 		constexpr std::chrono::seconds longest_idle{60};
 
+		/// A flow is not searched again within this time. Shorter than a caller's first retransmission.
+		constexpr milliseconds search_interval{100};
+
 		/// How many upstreams are tried with one opening packet.
 		constexpr std::size_t max_declined = 8;
 
@@ -131,6 +135,11 @@
 		[[nodiscard]] steering_decision search(const balancer_state& state, const catalog& known,
 											   const known_route& route, balancer_flow& flow, monotonic_time now)
 		{
+			if (flow.searched != monotonic_time{} && now - flow.searched < search_interval)
+			{
+				return give_up(steering_decision::action::drop, steering_reason::search_pending);
+			}
+			flow.searched = now;
 			auto holders = possible_holders(state, known, route, now);
 			if (holders.empty())
 			{
@@ -160,6 +169,20 @@
 			}
 		}
 
+		void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
+		{
+			if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
+			{
+				return;
+			}
+			auto& flow = state.flows[id];
+			flow.holder = agent;
+			flow.confirmed = true;
+			flow.used = now;
+			flow.declined.clear();
+			flow.unanswered.clear();
+		}
+
 		[[nodiscard]] steering_decision take_decline(balancer_state& state, const catalog& known, const segment& packet,
 													 ipv4 agent, monotonic_time now)
 		{
@@ -178,8 +201,22 @@
 			return place(state, known, route->second, id, found->second, now);
 		}
 
-		[[nodiscard]] steering_decision take_absence(balancer_state& state, const flow_id& id, ipv4 agent,
-													 bool complete)
+		[[nodiscard]] steering_decision search_again(balancer_state& state, const catalog& known, const flow_id& id,
+													 balancer_flow& flow, ipv4 agent, monotonic_time now)
+		{
+			const auto route = known.routes.find(id.route);
+			if (route == known.routes.end())
+			{
+				return {};
+			}
+			auto decision = search(state, known, route->second, flow, now);
+			std::erase(flow.unanswered, agent);
+			std::erase(decision.agents, agent);
+			return decision;
+		}
+
+		[[nodiscard]] steering_decision take_absence(balancer_state& state, const catalog& known, const flow_id& id,
+													 bool with_packet, ipv4 agent, bool complete, monotonic_time now)
 		{
 			const auto found = state.flows.find(id);
 			if (found == state.flows.end())
@@ -189,10 +226,9 @@
 			auto& flow = found->second;
 			if (flow.holder == agent)
 			{
-				// The next packet is searched for.
 				flow.holder = {};
 				flow.confirmed = false;
-				return {};
+				return with_packet ? search_again(state, known, id, flow, agent, now) : steering_decision{};
 			}
 			const bool asked = std::erase(flow.unanswered, agent) > 0;
 			if (!asked || !flow.unanswered.empty() || flow.holder != ipv4{} || !complete)
@@ -249,17 +285,20 @@
 		note_load(state, it, agent, now);
 		if (it.kind == message_kind::held)
 		{
-			auto& flow = state.flows[it.flow];
-			flow.holder = agent;
-			flow.confirmed = true;
-			flow.used = now;
-			flow.declined.clear();
-			flow.unanswered.clear();
+			note_holder(state, it.flow, agent, now);
+			return {};
+		}
+		if (it.kind == message_kind::holdings)
+		{
+			for (const auto& id : decode_flows(it.packet))
+			{
+				note_holder(state, id, agent, now);
+			}
 			return {};
 		}
 		if (it.kind == message_kind::not_held)
 		{
-			return take_absence(state, it.flow, agent, complete);
+			return take_absence(state, known, it.flow, packet != nullptr, agent, complete, now);
 		}
 		if (it.kind == message_kind::declined && packet != nullptr)
 		{
@@ -268,9 +307,8 @@
 		return {};
 	}
 
-	void forget_idle_flows(balancer_state& state, const catalog& known, monotonic_time now)
+	void forget_idle_flows(balancer_state& state, monotonic_time now)
 	{
-		const auto idle = known.idle_timeout.count() > 0 ? known.idle_timeout : milliseconds{longest_idle};
-		std::erase_if(state.flows, [&](const auto& it) { return now - it.second.used > idle; });
+		std::erase_if(state.flows, [now](const auto& it) { return now - it.second.used > longest_idle; });
 	}
 }
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -51,11 +51,10 @@
 		};
 
 		constexpr std::size_t load_size = 7;
-		constexpr std::size_t flow_size = 12;
 
 		[[nodiscard]] bool comes_from_agent(message_kind kind) noexcept
 		{
-			return kind >= message_kind::held;
+			return kind >= message_kind::held; // The kinds of agents stand last.
 		}
 
 		[[nodiscard]] bool names_flow(message_kind kind) noexcept
@@ -66,8 +65,9 @@
 		/// Size of the fields between the prefix and the packet.
 		[[nodiscard]] std::size_t fields_size(message_kind kind) noexcept
 		{
-			return (comes_from_agent(kind) ? load_size : 0) + (names_flow(kind) ? flow_size : 0) +
-				   (kind == message_kind::open ? sizeof(std::uint32_t) : 0);
+			return (comes_from_agent(kind) ? load_size : 0) + (names_flow(kind) ? encoded_flow_size : 0) +
+				   (kind == message_kind::open ? sizeof(std::uint32_t) : 0) +
+				   (kind == message_kind::greeting ? sizeof(std::uint32_t) + 1 : 0);
 		}
 
 		void put_endpoint(writer& out, const ipv4_endpoint& ep) noexcept
@@ -88,6 +88,33 @@
 		return intake_names[static_cast<std::size_t>(state)];
 	}
 
+	std::uint32_t key_of_zone(std::string_view name) noexcept
+	{
+		return static_cast<std::uint32_t>(key_of_service(name));
+	}
+
+	void encode_flows(std::span<const flow_id> flows, std::span<std::byte> out) noexcept
+	{
+		writer to{.out = out};
+		for (const auto& it : flows)
+		{
+			put_endpoint(to, it.caller);
+			put_endpoint(to, it.route);
+		}
+	}
+
+	std::vector<flow_id> decode_flows(std::span<const std::byte> bytes)
+	{
+		std::vector<flow_id> flows;
+		reader in{.in = bytes};
+		while (in.in.size() >= encoded_flow_size)
+		{
+			const auto caller = take_endpoint(in);
+			flows.push_back({.caller = caller, .route = take_endpoint(in)});
+		}
+		return flows;
+	}
+
 	std::size_t encode_message(const message& it, std::span<std::byte> out) noexcept
 	{
 		writer to{.out = out};
@@ -98,6 +125,11 @@
 		{
 			to.put(static_cast<std::uint32_t>(it.service));
 		}
+		if (it.kind == message_kind::greeting)
+		{
+			to.put(it.zone);
+			to.put(static_cast<std::uint8_t>(it.fresh));
+		}
 		if (comes_from_agent(it.kind))
 		{
 			to.put(static_cast<std::uint8_t>(it.load.state));
@@ -123,7 +155,7 @@
 		}
 		const auto kind = in.take<std::uint8_t>();
 		if (kind < static_cast<std::uint8_t>(message_kind::open) ||
-			kind > static_cast<std::uint8_t>(message_kind::load))
+			kind > static_cast<std::uint8_t>(message_kind::holdings))
 		{
 			return std::nullopt;
 		}
@@ -138,6 +170,11 @@
 		{
 			it.service = service_key{in.take<std::uint32_t>()};
 		}
+		if (it.kind == message_kind::greeting)
+		{
+			it.zone = in.take<std::uint32_t>();
+			it.fresh = in.take<std::uint8_t>() != 0;
+		}
 		if (comes_from_agent(it.kind))
 		{
 			const auto state = in.take<std::uint8_t>();
