Make fewer calls to the metadata store

Change: an agent watches its own upstream's entry and the operator's orders only. Changes wait 500 ms at balancers and 1 s at agents for the next call.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -103,8 +103,8 @@
 
 	/// Returns the flows that were opened since the last call, for the balancers of their callers' zones.
 	///
-	/// Load pattern: the fabric hashes over the balancers in rotation, so each balancer that stops or starts moves nearly
-	/// all flows of its zone to other balancers. Those know the holder already and need no search.
+	/// Load pattern: the fabric hashes over the balancers in rotation, so each balancer that stops or starts moves
+	/// nearly all flows of its zone to other balancers. Those know the holder already and need no search.
 	[[nodiscard]] std::vector<holdings_notice> collect_new_holdings(agent_state& state);
 
 	/// Returns the load to report now.
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -17,7 +17,7 @@
 		std::vector<ipv4> declined;        ///< Instances that did not take the opening packet.
 		std::vector<ipv4> unanswered;      ///< Instances that have not answered the search.
 		std::uint32_t acknowledgement = 0; ///< Newest one of the caller; a reset must be near it.
-		monotonic_time searched{}; ///< When the last search was sent.
+		monotonic_time searched{};         ///< When the last search was sent.
 		monotonic_time used;
 	};
 
@@ -25,12 +25,12 @@
 	enum class steering_reason : std::uint8_t
 	{
 		none,
-		no_route,      ///< No route has this address.
-		route_unknown, ///< No route has this address, but the configuration may be out of date.
-		no_upstream,   ///< No upstream of the service takes new flows.
-		all_declined,  ///< Every upstream that could take the flow declined it.
-		holder_gone,   ///< No upstream holds the flow any more.
-		search_pending,  ///< A search for the flow's holder is under way.
+		no_route,       ///< No route has this address.
+		route_unknown,  ///< No route has this address, but the configuration may be out of date.
+		no_upstream,    ///< No upstream of the service takes new flows.
+		all_declined,   ///< Every upstream that could take the flow declined it.
+		holder_gone,    ///< No upstream holds the flow any more.
+		search_pending, ///< A search for the flow's holder is under way.
 		malformed,
 		not_for_callers, ///< The packet was not sent by a caller.
 		table_full
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -55,10 +55,10 @@
 	struct message
 	{
 		message_kind kind = message_kind::greeting;
-		service_key service{};             ///< open: service chosen for the flow.
-		std::uint64_t version = 0;         ///< Newest configuration that the sender knows.
-		flow_id flow;                      ///< held, not_held.
-		load_report load;                  ///< From agents.
+		service_key service{};     ///< open: service chosen for the flow.
+		std::uint64_t version = 0; ///< Newest configuration that the sender knows.
+		flow_id flow;              ///< held, not_held.
+		load_report load;          ///< From agents.
 		std::uint32_t zone = 0;    ///< greeting: key of the balancer's availability zone.
 		bool fresh = false;        ///< greeting: the balancer has just started and knows no flows.
 
--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -10,6 +10,22 @@
 
 namespace nutmegturn::steering
 {
+	/// How long the store may hold a watch without a change. Connections that go silent are found by keep-alive probes.
+	inline constexpr std::chrono::milliseconds watch_wait{10'000};
+
+	/// Time after which a call without an answer is given up, on top of what the store may wait.
+	inline constexpr std::chrono::milliseconds call_timeout{1'200};
+
+	/// \name Pause after a change before the next watch, so that changes in quick succession share a call
+	/// @{
+
+	/// For processes that place flows. A sixth of the shortest time in which a change must be in force.
+	inline constexpr std::chrono::milliseconds placing_pause{500};
+
+	/// For agents, which only check what balancers have decided.
+	inline constexpr std::chrono::milliseconds checking_pause{1'000};
+	/// @}
+
 	/// Follows one group of keys of the metadata store: a full listing, then watches from its revision.
 	struct store_follower
 	{
@@ -21,6 +37,7 @@
 		};
 
 		step next = step::list;
+		std::chrono::milliseconds change_pause = placing_pause;
 		std::string last_key;         ///< Last key of the page before; empty for the first page.
 		std::set<std::string> listed; ///< Keys of the listing so far.
 		std::uint64_t revision = 0;   ///< Everything up to this revision is known.
@@ -33,15 +50,6 @@
 		monotonic_time due;           ///< Earliest time of the next call.
 	};
 
-	/// How long the store may hold a watch without a change. Bounds how long a connection that went silent is trusted.
-	inline constexpr std::chrono::milliseconds watch_wait{4'000};
-
-	/// Time after which a call without an answer is given up, on top of what the store may wait.
-	inline constexpr std::chrono::milliseconds call_timeout{1'200};
-
-	/// Pause after a change before the next watch, so that changes in quick succession share a call.
-	inline constexpr std::chrono::milliseconds change_pause{250};
-
 	/// How long after its return the store's contents are still settling.
 	inline constexpr std::chrono::milliseconds settling_time{2'500};
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -49,6 +49,7 @@
 				state_.gate.instance = settings.instance;
 				state_.gate.zone = settings.zone;
 				state_.gate.service = steering::key_of_service(settings.service);
+				node_.follow_own_upstream();
 				state_.knows_all_flows = settings.first_start;
 				state_.gate.started = node_.loop.now();
 			}
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,6 +13,12 @@
 	{
 	}
 
+	void node::follow_own_upstream()
+	{
+		upstreams.follow_instance(settings.instance);
+		orders.check_only();
+	}
+
 	void node::start()
 	{
 		orders.start();
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -12,6 +12,12 @@
 	{
 	}
 
+	void store_reader::follow_instance(steering::ipv4 instance)
+	{
+		instance_ = instance;
+		check_only();
+	}
+
 	void store_reader::start()
 	{
 		follower_.due = loop_.now();
@@ -32,7 +38,7 @@
 	{
 		++calls_;
 		const bool watch = follower_.next == store_follower::step::watch;
-		const auto target = watch ? platform::watch_target(group_, follower_.revision, steering::watch_wait)
+		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision, steering::watch_wait)
 								  : platform::listing_target(group_, follower_.last_key);
 		const auto timeout = steering::call_timeout + (watch ? steering::watch_wait : steering::milliseconds{0});
 		connection_.get(target, timeout, [this](const http_outcome& outcome) { take_outcome(outcome); });
@@ -66,9 +72,26 @@
 				fail(fmt::format("status {}", answer.status));
 				return;
 		}
+		choose_key();
 		call_when_due();
 	}
 
+	void store_reader::choose_key()
+	{
+		only_key_.clear();
+		if (!instance_)
+		{
+			return;
+		}
+		for (const auto& [key, it] : known_.upstreams)
+		{
+			if (it.listed && it.entry.address.ip == *instance_)
+			{
+				only_key_ = key;
+			}
+		}
+	}
+
 	void store_reader::take_listing(const platform::store_answer& answer)
 	{
 		const bool settling = is_settling(follower_, loop_.now());
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -18,6 +18,16 @@
 		store_reader(event_loop& loop, node_log& log, steering::catalog& known, const endpoint& store,
 					 steering::record_group group, std::uint64_t seed);
 
+		/// Limits the watch to the entry of the upstream on one instance, as soon as it has one. Other changes of the
+		/// group are then not seen.
+		void follow_instance(steering::ipv4 instance);
+
+		/// Lets changes wait longer, for a process that only checks what others decided.
+		void check_only() noexcept
+		{
+			follower_.change_pause = steering::checking_pause;
+		}
+
 		/// Starts to read.
 		void start();
 
@@ -41,6 +51,7 @@
 		void take_watch(const platform::store_answer& answer);
 		void log_cold_rates();
 		void fail(const std::string& why);
+		void choose_key();
 		void apply(const steering::store_record& it);
 
 		event_loop& loop_;
@@ -48,6 +59,8 @@
 		steering::catalog& known_;
 		steering::record_group group_;
 		http_connection connection_;
+		std::optional<steering::ipv4> instance_;
+		std::string only_key_; ///< Key that is watched alone; empty for the whole group.
 		steering::store_follower follower_;
 		random_source random_;
 		std::uint64_t calls_ = 0;
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -11,8 +11,8 @@
 			"none",        "no_route",       "route_unknown", "no_upstream",     "all_declined",
 			"holder_gone", "search_pending", "malformed",     "not_for_callers", "table_full"};
 
-		/// A flow without packets for this long is forgotten. Longer than an idle timeout, since the flow's packets may go
-		/// through another balancer.
+		/// A flow without packets for this long is forgotten. Longer than an idle timeout, since the flow's packets may
+		/// go through another balancer.
 		constexpr std::chrono::seconds longest_idle{60};
 
 		/// A flow is not searched again within this time. Shorter than a caller's first retransmission.
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -47,7 +47,7 @@
 	{
 		note_answer(it, now);
 		it.revision = std::max(it.revision, revision);
-		it.due = changed ? now + change_pause : now;
+		it.due = changed ? now + it.change_pause : now;
 	}
 
 	void note_history_gone(store_follower& it, monotonic_time now)
