--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -89,6 +89,13 @@
 	[[nodiscard]] agent_decision take_balancer_packet(agent_state& state, const catalog& known, const message& it,
 													  const segment& packet, ipv4 balancer, monotonic_time now);
 
+	/// Answers a balancer that looks for the holders of flows.
+	[[nodiscard]] std::vector<flow_answer> answer_query(const agent_state& state, std::span<const flow_id> flows);
+
+	/// Decides whether the agent has seen every flow of its upstream, since it is not younger than the upstream.
+	/// \param started_at_ms	Unix time at which this process started.
+	void note_upstream_start(agent_state& state, const catalog& known, std::int64_t started_at_ms);
+
 	/// Takes a packet that the upstream sent or gave back.
 	[[nodiscard]] agent_decision take_upstream_packet(agent_state& state, const segment& packet, monotonic_time now);
 
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -11,13 +11,9 @@
 	/// What a balancer remembers of a flow. All of it can be lost: a search finds the holder again.
 	struct balancer_flow
 	{
-		ipv4 holder{};                     ///< Agent's instance; zero while a search is under way.
-		bool confirmed = false;            ///< The agent said that its upstream holds the flow.
-		bool opened_here = false;          ///< The opening packet came through this process.
-		std::vector<ipv4> declined;        ///< Instances that did not take the opening packet.
-		std::vector<ipv4> unanswered;      ///< Instances that have not answered the search.
-		std::uint32_t acknowledgement = 0; ///< Newest one of the caller; a reset must be near it.
-		monotonic_time searched{};         ///< When the last search was sent.
+		ipv4 holder{};              ///< Agent's instance.
+		bool confirmed = false;     ///< The agent said that its upstream holds the flow.
+		std::vector<ipv4> declined; ///< Instances that did not take the opening packet.
 		monotonic_time used;
 	};
 
@@ -42,9 +38,11 @@
 	/// What to do with a packet.
 	struct steering_decision
 	{
+		/// Kinds of decisions.
 		enum class action : std::uint8_t
 		{
-			forward, ///< Send it to all of `agents` as `kind`.
+			forward, ///< Send it to the first of `agents` as `kind`.
+			look_up, ///< Ask `agents` for the holder of the flow; `needed` must answer before it counts as gone.
 			reset,   ///< Reset the flow towards the caller.
 			drop
 		};
@@ -53,6 +51,7 @@
 		message_kind kind = message_kind::carry;
 		service_key service{};
 		std::vector<ipv4> agents;
+		std::vector<ipv4> needed;
 		steering_reason why = steering_reason::none;
 	};
 
@@ -70,23 +69,22 @@
 
 	/// Decides where a caller's packet goes.
 	///
-	/// Load pattern: packets of one flow may arrive at any balancer, at any time, after any restart. A flow whose
-	/// holder is unknown is searched at every upstream of the services that its route names or has named; only the
-	/// holder keeps the packet, so nothing needs to be remembered for correctness. \param current	Whether the
-	/// configuration is known to be up to date, so that an unknown route can be refused.
+	/// Load pattern: packets of one flow may arrive at any balancer, at any time, after any restart. The holder of a
+	/// flow that this process does not know is looked up at the agents; only the holder keeps the packet, so nothing
+	/// needs to be remembered for correctness. \param current	Whether the configuration is known to be up to date, so
+	/// that an unknown route can be refused.
 	[[nodiscard]] steering_decision steer_packet(balancer_state& state, const catalog& known, const segment& it,
 												 monotonic_time now, bool current);
 
-	/// Takes an agent's message about a flow or its load.
+	/// Takes an agent's message about its load or about a flow.
 	/// \param agent	Instance of the sender.
 	/// \param packet	For `declined` and `not_held`: the packet that the upstream did not take, decoded.
-	/// \param complete	Whether the catalog is known to name all upstreams, so that a flow which none of them holds is
-	/// gone. \returns		For `declined`: where the opening packet goes next. For the last `not_held`: the reset of a
-	/// flow that
-	///					nobody holds. Otherwise a decision to drop, which needs no action.
+	/// \returns		Where that packet goes next; without a packet a decision to drop, which needs no action.
 	[[nodiscard]] steering_decision take_agent_message(balancer_state& state, const catalog& known, const message& it,
-													   const segment* packet, ipv4 agent, monotonic_time now,
-													   bool complete);
+													   const segment* packet, ipv4 agent, monotonic_time now);
+
+	/// Notes which agent's upstream holds a flow.
+	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now);
 
 	/// Forgets flows of which nothing was heard for as long as a flow can live.
 	void forget_idle_flows(balancer_state& state, monotonic_time now);
--- /dev/null
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "nutmegturn/steering/message.hpp"
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace nutmegturn::steering
+{
+	/// Flow whose holder is being looked for, with the newest packet of its caller.
+	struct pending_search
+	{
+		std::vector<std::byte> packet;
+		std::uint32_t acknowledgement = 0; ///< Newest one of the caller; a reset must be near it.
+		std::vector<ipv4> asked;           ///< Instances that may hold the flow.
+		std::vector<ipv4> unanswered;      ///< Those of them whose answer is needed to call the flow gone.
+		monotonic_time begun;
+	};
+
+	/// Searches for the holders of flows that this balancer does not know.
+	///
+	/// Load pattern: after a power loss or a restart of many processes all callers go on with flows of which no process
+	/// knows anything. Flows are asked for together, in short messages without their packets, so that links of a few
+	/// Mbit/s bear it; a caller whose flow nobody holds is told at once.
+	struct holder_search
+	{
+		std::unordered_map<flow_id, pending_search, flow_id_hash> pending;
+		std::vector<flow_id> unsent; ///< Searches whose queries have not been sent.
+	};
+
+	/// Largest number of flows that are searched at the same time; packets of others are dropped.
+	inline constexpr std::size_t max_searches = 1'024;
+
+	/// Time for which packets are collected before the agents are asked.
+	inline constexpr milliseconds query_delay{10};
+
+	/// A search without a result is begun anew by a packet that comes later than this.
+	inline constexpr milliseconds search_timeout{150};
+
+	/// What follows from an answer.
+	struct search_step
+	{
+		/// Kinds of steps.
+		enum class action : std::uint8_t
+		{
+			none,
+			deliver, ///< The agent's upstream holds the flow: send the packet there.
+			try_out, ///< Only the packet tells whether the agent's upstream holds the flow.
+			give_up  ///< Nobody holds the flow: reset it.
+		};
+
+		action what = action::none;
+		flow_id flow;
+		std::vector<std::byte> packet;
+		std::uint32_t acknowledgement = 0;
+	};
+
+	/// Begins or joins the search for a flow.
+	/// \param asked	Instances that may hold it.
+	/// \param needed	Those whose answer is needed to call it gone.
+	/// \returns		Whether a query has to be sent.
+	bool begin_search(holder_search& search, const flow_id& id, std::span<const std::byte> packet,
+					  std::uint32_t acknowledgement, std::vector<ipv4> asked, std::vector<ipv4> needed,
+					  monotonic_time now);
+
+	/// Returns the queries that are due, by instance.
+	[[nodiscard]] std::map<ipv4, std::vector<flow_id>> take_queries(holder_search& search);
+
+	/// Takes one answer.
+	/// \param complete	Whether the catalog names all upstreams, so that a flow without holder is gone.
+	[[nodiscard]] search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, bool complete);
+
+	/// Forgets searches that got no result.
+	void forget_searches(holder_search& search, monotonic_time now);
+}
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -18,11 +18,13 @@
 		open = 1, ///< Balancer to agent: opening packet for the agent's upstream.
 		carry,    ///< Balancer to agent: packet of a flow that the upstream holds as far as the balancer knows.
 		search,   ///< Balancer to agents: packet of a flow whose holder the balancer does not know.
+		query,    ///< Balancer to agents: which of these flows does the upstream hold?
 		greeting, ///< Balancer to agent: asks for load reports and for the flows of the balancer's zone.
 		held,     ///< Agent to balancer: the upstream holds the flow.
 		not_held, ///< Agent to balancer: the upstream does not hold the flow.
 		declined, ///< Agent to balancer: the upstream takes no opening packet now; carries that packet.
 		load,     ///< Agent to balancer: load report without a flow.
+		answers,  ///< Agent to balancer: answers to a query.
 		holdings  ///< Agent to the balancers of a zone: flows of that zone that the upstream holds.
 	};
 
@@ -62,21 +64,47 @@
 		std::uint32_t zone = 0;    ///< greeting: key of the balancer's availability zone.
 		bool fresh = false;        ///< greeting: the balancer has just started and knows no flows.
 
-		/// open, carry, search, declined, not_held: the caller's packet. holdings: encoded flows.
+		/// open, carry, search, declined, not_held: the caller's packet. holdings, query: encoded flows. answers:
+		/// encoded flows with a verdict each.
 		std::span<const std::byte> packet;
 	};
 
 	/// Size of an encoded flow in a `holdings` message, in bytes.
 	inline constexpr std::size_t encoded_flow_size = 12;
 
-	/// Largest number of flows in one `holdings` message, so that it fits in a usual datagram.
-	inline constexpr std::size_t max_holdings = 100;
+	/// Largest number of flows in one message, so that it fits in a usual datagram.
+	inline constexpr std::size_t max_flows_per_message = 100;
 
-	/// Writes flows for a `holdings` message.
+	/// Whether an upstream holds a flow, as far as its agent knows.
+	enum class possession : std::uint8_t
+	{
+		held,
+		not_held,
+		unsure ///< The agent has not seen all flows of its upstream; only a packet of the flow tells.
+	};
+
+	/// Answer for one flow of a query.
+	struct flow_answer
+	{
+		flow_id flow;
+		possession verdict = possession::unsure;
+	};
+
+	/// Size of an encoded answer, in bytes.
+	inline constexpr std::size_t encoded_answer_size = encoded_flow_size + 1;
+
+	/// Writes the answers of an `answers` message.
+	/// \param out	At least `encoded_answer_size` bytes an answer.
+	void encode_answers(std::span<const flow_answer> answers, std::span<std::byte> out) noexcept;
+
+	/// Reads the answers of an `answers` message; an unknown verdict counts as unsure.
+	[[nodiscard]] std::vector<flow_answer> decode_answers(std::span<const std::byte> bytes);
+
+	/// Writes flows for a `holdings` or `query` message.
 	/// \param out	At least `encoded_flow_size` bytes a flow.
 	void encode_flows(std::span<const flow_id> flows, std::span<std::byte> out) noexcept;
 
-	/// Reads the flows of a `holdings` message; bytes after the last whole flow are ignored.
+	/// Reads the flows of a `holdings` or `query` message; bytes after the last whole flow are ignored.
 	[[nodiscard]] std::vector<flow_id> decode_flows(std::span<const std::byte> bytes);
 
 	/// Returns the key of an availability zone.
--- a/include/nutmegturn/steering/upstream_gate.hpp
+++ b/include/nutmegturn/steering/upstream_gate.hpp
@@ -28,6 +28,9 @@
 	/// How often an unreachable upstream is tried with a new flow.
 	inline constexpr milliseconds trial_interval{300};
 
+	/// Returns the newest entry of the gate's own upstream, or nothing.
+	[[nodiscard]] const known_upstream* own_upstream(const upstream_gate& gate, const catalog& known);
+
 	/// Returns whether the upstream bears less than its full load.
 	///
 	/// Load pattern: a zone's upstreams come back together with empty caches while all callers reopen their flows. The
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -119,6 +119,11 @@
 						greet(*it, from->ip);
 						continue;
 					}
+					if (it->kind == message_kind::query)
+					{
+						answer(*it, from->ip);
+						continue;
+					}
 					const auto packet = platform::decode_packet(it->packet);
 					if (packet)
 					{
@@ -138,14 +143,25 @@
 				}
 			}
 
+			void answer(const message& query, ipv4 balancer)
+			{
+				note_upstream_start(state_, node_.known, started_at_ms_);
+				const auto answers = answer_query(state_, steering::decode_flows(query.packet));
+				std::array<std::byte, steering::max_flows_per_message * steering::encoded_answer_size> encoded{};
+				const auto part = std::span{answers}.first(std::min(answers.size(), steering::max_flows_per_message));
+				encode_answers(part, encoded);
+				send(balancer, message_kind::answers, {}, make_load_report(state_, node_.known, node_.loop.now()),
+					 std::span{encoded}.first(part.size() * steering::encoded_answer_size));
+			}
+
 			void send_holdings(const steering::holdings_notice& notice)
 			{
-				std::array<std::byte, steering::max_holdings * steering::encoded_flow_size> encoded{};
+				std::array<std::byte, steering::max_flows_per_message * steering::encoded_flow_size> encoded{};
 				const auto load = make_load_report(state_, node_.known, node_.loop.now());
 				std::span<const steering::flow_id> rest = notice.flows;
 				while (!rest.empty())
 				{
-					const auto part = rest.first(std::min(rest.size(), steering::max_holdings));
+					const auto part = rest.first(std::min(rest.size(), steering::max_flows_per_message));
 					encode_flows(part, encoded);
 					rest = rest.subspan(part.size());
 					for (const auto balancer : notice.balancers)
@@ -322,6 +338,7 @@
 
 			node node_;
 			steering::agent_state state_;
+			std::int64_t started_at_ms_ = runtime::read_wall_clock().time_since_epoch().count();
 			status_server status_;
 			process_signals signals_;
 			runtime::file_descriptor peers_;
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -1,4 +1,5 @@
 #include "nutmegturn/steering/balancer_flows.hpp"
+#include "nutmegturn/steering/holder_search.hpp"
 
 #include "node/node.hpp"
 #include "node/process_signals.hpp"
@@ -8,6 +9,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <csignal>
 
 namespace nutmegturn::node
@@ -18,6 +20,7 @@
 		using steering::ipv4;
 		using steering::message;
 		using steering::message_kind;
+		using steering::search_step;
 		using steering::segment;
 		using steering::steering_decision;
 		using steering::to_endpoint;
@@ -137,18 +140,51 @@
 
 			void take_message(const message& it, ipv4 agent)
 			{
-				const bool carries_packet = it.kind != message_kind::holdings && !it.packet.empty();
-				const auto packet = carries_packet ? platform::decode_packet(it.packet) : std::nullopt;
-				const auto decision = take_agent_message(state_, node_.known, it, packet ? &*packet : nullptr, agent,
-														 node_.loop.now(), node_.upstreams_complete());
+				const bool lists_flows = it.kind == message_kind::holdings || it.kind == message_kind::answers;
+				const auto packet =
+					lists_flows || it.packet.empty() ? std::nullopt : platform::decode_packet(it.packet);
+				const auto decision =
+					take_agent_message(state_, node_.known, it, packet ? &*packet : nullptr, agent, node_.loop.now());
 				if (packet)
 				{
 					carry_out(decision, *packet, it.packet);
 				}
-				else if (decision.what == steering_decision::action::reset)
+				if (it.kind == message_kind::answers)
 				{
-					const auto flow = state_.flows.find(it.flow);
-					reset(it.flow, flow == state_.flows.end() ? 0 : flow->second.acknowledgement, decision.why);
+					for (const auto& answer : steering::decode_answers(it.packet))
+					{
+						carry_out(take_answer(search_, agent, answer, node_.upstreams_complete()), agent);
+					}
+				}
+				else if (it.kind == message_kind::held || it.kind == message_kind::not_held)
+				{
+					const auto verdict =
+						it.kind == message_kind::held ? steering::possession::held : steering::possession::not_held;
+					const auto step =
+						take_answer(search_, agent, {.flow = it.flow, .verdict = verdict}, node_.upstreams_complete());
+					if (step.what == search_step::action::give_up)
+					{
+						carry_out(step, agent);
+					}
+				}
+			}
+
+			void carry_out(const search_step& step, ipv4 agent)
+			{
+				switch (step.what)
+				{
+					case search_step::action::none:
+						break;
+					case search_step::action::deliver:
+						note_holder(state_, step.flow, agent, node_.loop.now());
+						send_packet(agent, message_kind::carry, step.packet);
+						break;
+					case search_step::action::try_out:
+						send_packet(agent, message_kind::search, step.packet);
+						break;
+					case search_step::action::give_up:
+						reset(step.flow, step.acknowledgement, steering::steering_reason::holder_gone);
+						break;
 				}
 			}
 
@@ -159,6 +195,9 @@
 					case steering_decision::action::forward:
 						forward(decision, bytes);
 						break;
+					case steering_decision::action::look_up:
+						look_up(decision, it, bytes);
+						break;
 					case steering_decision::action::reset:
 						reset(flow_of_caller(it), it.opens ? 0 : it.acknowledgement, decision.why);
 						break;
@@ -179,9 +218,44 @@
 				it.service = decision.service;
 				it.version = node_.known.version;
 				it.packet = bytes;
-				for (const auto agent : decision.agents)
+				send(decision.agents.front(), it);
+			}
+
+			void send_packet(ipv4 agent, message_kind kind, std::span<const std::byte> bytes)
+			{
+				message it;
+				it.kind = kind;
+				it.version = node_.known.version;
+				it.packet = bytes;
+				send(agent, it);
+			}
+
+			void look_up(const steering_decision& decision, const segment& it, std::span<const std::byte> bytes)
+			{
+				const auto now = node_.loop.now();
+				const bool first = search_.unsent.empty();
+				const bool begun = begin_search(search_, flow_of_caller(it), bytes, it.acknowledgement, decision.agents,
+												decision.needed, now);
+				if (begun && first)
+				{
+					node_.loop.at(now + steering::query_delay, [this] { send_queries(); });
+				}
+			}
+
+			void send_queries()
+			{
+				std::array<std::byte, steering::max_flows_per_message * steering::encoded_flow_size> encoded{};
+				for (const auto& [agent, flows] : take_queries(search_))
 				{
-					send(agent, it);
+					std::span<const steering::flow_id> rest = flows;
+					while (!rest.empty())
+					{
+						const auto part = rest.first(std::min(rest.size(), steering::max_flows_per_message));
+						encode_flows(part, encoded);
+						rest = rest.subspan(part.size());
+						send_packet(agent, message_kind::query,
+									std::span{encoded}.first(part.size() * steering::encoded_flow_size));
+					}
 				}
 			}
 
@@ -232,6 +306,7 @@
 					send(upstream.entry.address.ip, it);
 				}
 				forget_idle_flows(state_, node_.loop.now());
+				forget_searches(search_, node_.loop.now());
 				forget_former(node_.known, node_.loop.now());
 				node_.loop.at(node_.loop.now() + greeting_interval, [this] { greet_agents(); });
 			}
@@ -276,6 +351,7 @@
 
 			node node_;
 			steering::balancer_state state_;
+			steering::holder_search search_;
 			status_server status_;
 			process_signals signals_;
 			runtime::file_descriptor callers_;
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -21,6 +21,10 @@
 		/// A flow without packets for this long is forgotten even if no idle timeout is published.
 		constexpr std::chrono::seconds longest_idle{60};
 
+		/// An upstream that started no longer than this before its agent started together with it: no earlier process
+		/// of the agent can have carried flows for it.
+		constexpr milliseconds common_start{1'000};
+
 		/// A flow that both sides have closed is kept this long for late packets.
 		constexpr std::chrono::seconds closed_retention{1};
 
@@ -164,15 +168,6 @@
 		}
 		agent_decision decision;
 		const auto id = flow_of_caller(packet);
-		if (it.kind == message_kind::search && state.knows_all_flows && !state.flows.contains(id))
-		{
-			decision.replies.push_back({.balancer = balancer,
-										.kind = message_kind::not_held,
-										.flow = id,
-										.why = intake::open,
-										.with_packet = false});
-			return decision;
-		}
 		decision.deliver = true;
 		auto* flow = remember(state, id, now);
 		if (flow == nullptr)
@@ -200,6 +195,29 @@
 		return decision;
 	}
 
+	std::vector<flow_answer> answer_query(const agent_state& state, std::span<const flow_id> flows)
+	{
+		std::vector<flow_answer> answers;
+		for (const auto& id : flows)
+		{
+			const auto found = state.flows.find(id);
+			const bool open = found != state.flows.end() && found->second.stage == flow_stage::open;
+			const bool absent = found == state.flows.end() && state.knows_all_flows;
+			const auto verdict = open ? possession::held : absent ? possession::not_held : possession::unsure;
+			answers.push_back({.flow = id, .verdict = verdict});
+		}
+		return answers;
+	}
+
+	void note_upstream_start(agent_state& state, const catalog& known, std::int64_t started_at_ms)
+	{
+		const auto* own = own_upstream(state.gate, known);
+		if (own != nullptr && own->entry.started_at_ms + common_start.count() >= started_at_ms)
+		{
+			state.knows_all_flows = true;
+		}
+	}
+
 	agent_decision take_upstream_packet(agent_state& state, const segment& packet, monotonic_time now)
 	{
 		if (packet.returned)
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -7,23 +7,20 @@
 {
 	namespace
 	{
-		constexpr std::array<std::string_view, 10> reason_names{
-			"none",        "no_route",       "route_unknown", "no_upstream",     "all_declined",
-			"holder_gone", "search_pending", "malformed",     "not_for_callers", "table_full"};
+		constexpr std::array<std::string_view, 9> reason_names{"none",        "no_route",        "route_unknown",
+															   "no_upstream", "all_declined",    "holder_gone",
+															   "malformed",   "not_for_callers", "table_full"};
 
 		/// A flow without packets for this long is forgotten. Longer than an idle timeout, since the flow's packets may
 		/// go through another balancer.
 		constexpr std::chrono::seconds longest_idle{60};
 
-		/// A flow is not searched again within this time. Shorter than a caller's first retransmission.
-		constexpr milliseconds search_interval{100};
-
 		/// How many upstreams are tried with one opening packet.
 		constexpr std::size_t max_declined = 8;
 
 		[[nodiscard]] steering_decision give_up(steering_decision::action what, steering_reason why)
 		{
-			return {.what = what, .kind = {}, .service = {}, .agents = {}, .why = why};
+			return {.what = what, .kind = {}, .service = {}, .agents = {}, .needed = {}, .why = why};
 		}
 
 		[[nodiscard]] steering_decision forward(message_kind kind, service_key service, ipv4 agent)
@@ -32,37 +29,45 @@
 					.kind = kind,
 					.service = service,
 					.agents = {agent},
+					.needed = {},
 					.why = steering_reason::none};
 		}
 
-		void add_instances(std::vector<ipv4>& found, const std::vector<const known_upstream*>& upstreams)
+		void add_instance(std::vector<ipv4>& found, ipv4 instance)
 		{
-			for (const auto* it : upstreams)
+			if (std::ranges::find(found, instance) == found.end())
 			{
-				if (std::ranges::find(found, it->entry.address.ip) == found.end())
-				{
-					found.push_back(it->entry.address.ip);
-				}
+				found.push_back(instance);
 			}
 		}
 
-		/// Instances whose upstream may hold a flow of the route. A process cannot know which services the route named
-		/// before it started, so as long as such a flow can be open it asks all.
-		[[nodiscard]] std::vector<ipv4> possible_holders(const balancer_state& state, const catalog& known,
-														 const known_route& route, monotonic_time now)
+		/// Asks for the holder of a flow. A process cannot know which services the route named before it started, so as
+		/// long as such a flow can be open it asks all agents. An upstream without entry may still hold the flow, but
+		/// its agent may be gone too, so its answer is not needed.
+		[[nodiscard]] steering_decision look_up(const balancer_state& state, const catalog& known,
+												const known_route& route, monotonic_time now)
 		{
 			const bool all = now - state.started < former_upstream_retention;
-			std::vector<ipv4> found;
+			steering_decision decision;
+			decision.what = steering_decision::action::look_up;
 			for (const auto& [service, upstreams] : known.by_service)
 			{
 				const bool named = std::ranges::any_of(route.services,
 													   [id = service](const auto& share) { return share.first == id; });
-				if (all || named || route.former.contains(service))
+				if (!all && !named && !route.former.contains(service))
 				{
-					add_instances(found, upstreams);
+					continue;
+				}
+				for (const auto* it : upstreams)
+				{
+					add_instance(decision.agents, it->entry.address.ip);
+					if (it->listed)
+					{
+						add_instance(decision.needed, it->entry.address.ip);
+					}
 				}
 			}
-			return found;
+			return decision;
 		}
 
 		void note_sent(balancer_state& state, ipv4 agent, monotonic_time now)
@@ -110,7 +115,6 @@
 			}
 			auto& flow = state.flows[id];
 			flow.used = now;
-			flow.opened_here = true;
 			if (flow.confirmed)
 			{
 				return forward(message_kind::open, choose_service(route, hash_flow(id)), flow.holder);
@@ -126,37 +130,11 @@
 				// All have been asked and none has refused: start again with the copy.
 				auto& again = state.flows[id];
 				again.used = now;
-				again.opened_here = true;
 				return place(state, known, route, id, again, now);
 			}
 			return decision;
 		}
 
-		[[nodiscard]] steering_decision search(const balancer_state& state, const catalog& known,
-											   const known_route& route, balancer_flow& flow, monotonic_time now)
-		{
-			if (flow.searched != monotonic_time{} && now - flow.searched < search_interval)
-			{
-				return give_up(steering_decision::action::drop, steering_reason::search_pending);
-			}
-			flow.searched = now;
-			auto holders = possible_holders(state, known, route, now);
-			if (holders.empty())
-			{
-				return give_up(steering_decision::action::drop, steering_reason::no_upstream);
-			}
-			if (flow.unanswered.empty())
-			{
-				// Later packets join the search, whose answers stay valid: a flow never moves to an upstream.
-				flow.unanswered = holders;
-			}
-			return {.what = steering_decision::action::forward,
-					.kind = message_kind::search,
-					.service = {},
-					.agents = std::move(holders),
-					.why = steering_reason::none};
-		}
-
 		void note_load(balancer_state& state, const message& it, ipv4 agent, monotonic_time now)
 		{
 			auto& load = state.loads[agent];
@@ -169,20 +147,6 @@
 			}
 		}
 
-		void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
-		{
-			if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
-			{
-				return;
-			}
-			auto& flow = state.flows[id];
-			flow.holder = agent;
-			flow.confirmed = true;
-			flow.used = now;
-			flow.declined.clear();
-			flow.unanswered.clear();
-		}
-
 		[[nodiscard]] steering_decision take_decline(balancer_state& state, const catalog& known, const segment& packet,
 													 ipv4 agent, monotonic_time now)
 		{
@@ -201,42 +165,23 @@
 			return place(state, known, route->second, id, found->second, now);
 		}
 
-		[[nodiscard]] steering_decision search_again(balancer_state& state, const catalog& known, const flow_id& id,
-													 balancer_flow& flow, ipv4 agent, monotonic_time now)
+		/// The upstream gave a packet back: the flow is looked up among the others.
+		[[nodiscard]] steering_decision take_absence(balancer_state& state, const catalog& known, const segment& packet,
+													 ipv4 agent, monotonic_time now)
 		{
+			const auto id = flow_of_caller(packet);
+			const auto found = state.flows.find(id);
 			const auto route = known.routes.find(id.route);
-			if (route == known.routes.end())
+			if (found == state.flows.end() || found->second.holder != agent || route == known.routes.end())
 			{
 				return {};
 			}
-			auto decision = search(state, known, route->second, flow, now);
-			std::erase(flow.unanswered, agent);
+			state.flows.erase(found);
+			auto decision = look_up(state, known, route->second, now);
 			std::erase(decision.agents, agent);
+			std::erase(decision.needed, agent);
 			return decision;
 		}
-
-		[[nodiscard]] steering_decision take_absence(balancer_state& state, const catalog& known, const flow_id& id,
-													 bool with_packet, ipv4 agent, bool complete, monotonic_time now)
-		{
-			const auto found = state.flows.find(id);
-			if (found == state.flows.end())
-			{
-				return {};
-			}
-			auto& flow = found->second;
-			if (flow.holder == agent)
-			{
-				flow.holder = {};
-				flow.confirmed = false;
-				return with_packet ? search_again(state, known, id, flow, agent, now) : steering_decision{};
-			}
-			const bool asked = std::erase(flow.unanswered, agent) > 0;
-			if (!asked || !flow.unanswered.empty() || flow.holder != ipv4{} || !complete)
-			{
-				return {};
-			}
-			return give_up(steering_decision::action::reset, steering_reason::holder_gone);
-		}
 	}
 
 	std::string_view to_string(steering_reason why) noexcept
@@ -264,23 +209,30 @@
 		{
 			return steer_opening(state, known, route->second, it, now);
 		}
-		if (state.flows.size() >= max_balancer_flows)
+		const auto flow = state.flows.find(flow_of_caller(it));
+		if (flow == state.flows.end())
 		{
-			balancer_flow untracked;
-			return search(state, known, route->second, untracked, now);
+			return it.resets ? steering_decision{} : look_up(state, known, route->second, now);
 		}
-		auto& flow = state.flows[flow_of_caller(it)];
-		flow.used = now;
-		flow.acknowledgement = it.acknowledgement;
-		if (flow.holder != ipv4{})
+		flow->second.used = now;
+		return forward(message_kind::carry, {}, flow->second.holder);
+	}
+
+	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
+	{
+		if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
 		{
-			return forward(message_kind::carry, {}, flow.holder);
+			return;
 		}
-		return search(state, known, route->second, flow, now);
+		auto& flow = state.flows[id];
+		flow.holder = agent;
+		flow.confirmed = true;
+		flow.used = now;
+		flow.declined.clear();
 	}
 
 	steering_decision take_agent_message(balancer_state& state, const catalog& known, const message& it,
-										 const segment* packet, ipv4 agent, monotonic_time now, bool complete)
+										 const segment* packet, ipv4 agent, monotonic_time now)
 	{
 		note_load(state, it, agent, now);
 		if (it.kind == message_kind::held)
@@ -296,9 +248,9 @@
 			}
 			return {};
 		}
-		if (it.kind == message_kind::not_held)
+		if (it.kind == message_kind::not_held && packet != nullptr)
 		{
-			return take_absence(state, known, it.flow, packet != nullptr, agent, complete, now);
+			return take_absence(state, known, *packet, agent, now);
 		}
 		if (it.kind == message_kind::declined && packet != nullptr)
 		{
--- /dev/null
+++ b/src/steering/holder_search.cpp
@@ -0,0 +1,96 @@
+#include "nutmegturn/steering/holder_search.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace nutmegturn::steering
+{
+	namespace
+	{
+		/// Searches without a result are kept this long for late answers.
+		constexpr std::chrono::seconds search_retention{2};
+
+		[[nodiscard]] search_step end_search(holder_search& search, const flow_id& id, search_step::action what)
+		{
+			auto& it = search.pending.at(id);
+			search_step step{
+				.what = what, .flow = id, .packet = std::move(it.packet), .acknowledgement = it.acknowledgement};
+			search.pending.erase(id);
+			return step;
+		}
+	}
+
+	bool begin_search(holder_search& search, const flow_id& id, std::span<const std::byte> packet,
+					  std::uint32_t acknowledgement, std::vector<ipv4> asked, std::vector<ipv4> needed,
+					  monotonic_time now)
+	{
+		const auto found = search.pending.find(id);
+		if (found == search.pending.end() && search.pending.size() >= max_searches)
+		{
+			return false;
+		}
+		const bool repeat = found == search.pending.end() || now - found->second.begun >= search_timeout;
+		auto& it = search.pending[id];
+		it.packet.assign(packet.begin(), packet.end());
+		it.acknowledgement = acknowledgement;
+		if (!repeat)
+		{
+			return false;
+		}
+		it.asked = std::move(asked);
+		it.unanswered = std::move(needed);
+		it.begun = now;
+		search.unsent.push_back(id);
+		return true;
+	}
+
+	std::map<ipv4, std::vector<flow_id>> take_queries(holder_search& search)
+	{
+		std::map<ipv4, std::vector<flow_id>> queries;
+		for (const auto& id : std::exchange(search.unsent, {}))
+		{
+			const auto found = search.pending.find(id);
+			if (found == search.pending.end())
+			{
+				continue;
+			}
+			for (const auto agent : found->second.asked)
+			{
+				queries[agent].push_back(id);
+			}
+		}
+		return queries;
+	}
+
+	search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, bool complete)
+	{
+		const auto found = search.pending.find(it.flow);
+		if (found == search.pending.end())
+		{
+			return {};
+		}
+		switch (it.verdict)
+		{
+			case possession::held:
+				return end_search(search, it.flow, search_step::action::deliver);
+			case possession::unsure:
+				return {.what = search_step::action::try_out,
+						.flow = it.flow,
+						.packet = found->second.packet,
+						.acknowledgement = found->second.acknowledgement};
+			case possession::not_held:
+				break;
+		}
+		const bool awaited = std::erase(found->second.unanswered, agent) > 0;
+		if (awaited && found->second.unanswered.empty() && complete)
+		{
+			return end_search(search, it.flow, search_step::action::give_up);
+		}
+		return {};
+	}
+
+	void forget_searches(holder_search& search, monotonic_time now)
+	{
+		std::erase_if(search.pending, [now](const auto& it) { return now - it.second.begun > search_retention; });
+	}
+}
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -103,6 +103,34 @@
 		}
 	}
 
+	void encode_answers(std::span<const flow_answer> answers, std::span<std::byte> out) noexcept
+	{
+		writer to{.out = out};
+		for (const auto& it : answers)
+		{
+			put_endpoint(to, it.flow.caller);
+			put_endpoint(to, it.flow.route);
+			to.put(static_cast<std::uint8_t>(it.verdict));
+		}
+	}
+
+	std::vector<flow_answer> decode_answers(std::span<const std::byte> bytes)
+	{
+		std::vector<flow_answer> answers;
+		reader in{.in = bytes};
+		while (in.in.size() >= encoded_answer_size)
+		{
+			flow_answer it;
+			it.flow.caller = take_endpoint(in);
+			it.flow.route = take_endpoint(in);
+			const auto verdict = in.take<std::uint8_t>();
+			it.verdict =
+				verdict > static_cast<std::uint8_t>(possession::unsure) ? possession::unsure : possession{verdict};
+			answers.push_back(it);
+		}
+		return answers;
+	}
+
 	std::vector<flow_id> decode_flows(std::span<const std::byte> bytes)
 	{
 		std::vector<flow_id> flows;
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -12,25 +12,6 @@
 		/// Admitted in a window beyond the published rate, so that a rate below one a second still lets flows in.
 		constexpr double cold_allowance = 2.0;
 
-		[[nodiscard]] const known_upstream* own_upstream(const upstream_gate& gate, const catalog& known)
-		{
-			const auto found = known.by_service.find(gate.service);
-			if (found == known.by_service.end())
-			{
-				return nullptr;
-			}
-			const known_upstream* latest = nullptr;
-			for (const auto* it : found->second)
-			{
-				const bool own = it->entry.address.ip == gate.instance;
-				if (own && (latest == nullptr || it->entry.started_at_ms > latest->entry.started_at_ms))
-				{
-					latest = it;
-				}
-			}
-			return latest;
-		}
-
 		[[nodiscard]] const service_record* own_service(const upstream_gate& gate, const catalog& known)
 		{
 			const auto found = known.services.find(gate.service);
@@ -53,6 +34,25 @@
 		}
 	}
 
+	const known_upstream* own_upstream(const upstream_gate& gate, const catalog& known)
+	{
+		const auto found = known.by_service.find(gate.service);
+		if (found == known.by_service.end())
+		{
+			return nullptr;
+		}
+		const known_upstream* latest = nullptr;
+		for (const auto* it : found->second)
+		{
+			const bool own = it->entry.address.ip == gate.instance;
+			if (own && (latest == nullptr || it->entry.started_at_ms > latest->entry.started_at_ms))
+			{
+				latest = it;
+			}
+		}
+		return latest;
+	}
+
 	bool gate_is_cold(const upstream_gate& gate, const catalog& known, monotonic_time now)
 	{
 		const auto* service = own_service(gate, known);
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,207 @@
+#include "platform/packet_format.hpp"
+#include "platform/settings.hpp"
+#include "platform/store_format.hpp"
+#include "steering_world.hpp"
+
+#include <gtest/gtest.h>
+#include <sodium.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+
+namespace nutmegturn::platform
+{
+	namespace
+	{
+		using steering::to_string;
+
+		[[nodiscard]] std::vector<std::byte> from_hex(std::string_view hex)
+		{
+			std::vector<std::byte> bytes(hex.size());
+			std::size_t n = 0;
+			EXPECT_EQ(sodium_hex2bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), hex.data(),
+									 hex.size(), " ", &n, nullptr),
+					  0);
+			bytes.resize(n);
+			return bytes;
+		}
+
+		constexpr std::string_view opening_packet =
+			"44 33 22 11 00 00 00 00 d5 c3 b2 a1 02 00 00 00 00 00 00 07 00 40 64 41 "
+			"9c bb 01 01 00 12 c6";
+		constexpr std::string_view reset_packet =
+			"00 00 00 00 00 00 00 00 00 00 00 00 10 00 00 00 00 00 00 01 00 12 c6 bb "
+			"01 41 9c 07 00 40 64";
+
+		// Guards against a misread header: every other decision rests on it.
+		TEST(a_platform_packet, is_decoded_from_the_published_example)
+		{
+			const auto it = decode_packet(from_hex(opening_packet));
+			ASSERT_TRUE(it);
+			EXPECT_EQ(to_string(it->source), "100.64.0.7:40001");
+			EXPECT_EQ(to_string(it->destination), "198.18.0.1:443");
+			EXPECT_EQ(it->sequence, 0x11223344U);
+			EXPECT_TRUE(it->opens);
+			EXPECT_FALSE(it->acknowledges || it->finishes || it->resets || it->returned);
+		}
+
+		// Guards against resets that callers do not recognise.
+		TEST(a_platform_packet, is_encoded_as_the_published_reset)
+		{
+			const auto it = decode_packet(from_hex(opening_packet));
+			const auto reset = encode_reset(flow_of_caller(*it), 0);
+			EXPECT_EQ(std::vector(reset.begin(), reset.end()), from_hex(reset_packet));
+		}
+
+		// Guards against reads beyond the end of a packet.
+		TEST(a_platform_packet, is_refused_when_it_is_cut_or_its_length_lies)
+		{
+			auto bytes = from_hex(opening_packet);
+			for (std::size_t n = 0; n < bytes.size(); ++n)
+			{
+				EXPECT_FALSE(decode_packet(std::span{bytes}.first(n))) << n;
+			}
+			bytes.push_back(std::byte{0});
+			EXPECT_FALSE(decode_packet(bytes));
+		}
+
+		[[nodiscard]] std::string base64(std::string_view text)
+		{
+			std::string encoded(sodium_base64_encoded_len(text.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+			sodium_bin2base64(encoded.data(), encoded.size(), reinterpret_cast<const unsigned char*>(text.data()),
+							  text.size(), sodium_base64_VARIANT_ORIGINAL);
+			encoded.resize(encoded.find('\0'));
+			return encoded;
+		}
+
+		[[nodiscard]] steering::record_value decode_one(const std::string& key, std::string_view value)
+		{
+			const auto answer = decode_answer(200, R"({"items":[{"key":")" + key + R"(","revision":7,"value":")" +
+													   base64(value) + R"("}],"as_of":9})");
+			EXPECT_EQ(answer.how, store_answer::outcome::complete);
+			EXPECT_EQ(answer.revision, 9U);
+			return answer.records.at(0).value;
+		}
+
+		constexpr std::string_view good_entry =
+			R"({"service":"desk","address":"10.1.0.9:8080","zone":"a","version":"v1","max_concurrency":5,)"
+			R"("state":"ready","cold_remaining_ms":120,"sequence":4,"born":1700000000000})";
+
+		// Guards against upstreams with wrong addresses or capacities.
+		TEST(a_store_answer, gives_upstream_entries)
+		{
+			const auto value = decode_one("servers/i-1", good_entry);
+			const auto* it = std::get_if<steering::upstream_entry>(&value);
+			ASSERT_NE(it, nullptr);
+			EXPECT_EQ(to_string(it->address), "10.1.0.9:8080");
+			EXPECT_EQ(it->slots, 5U);
+			EXPECT_EQ(it->cold_remaining.count(), 120);
+			EXPECT_EQ(it->started_at_ms, 1'700'000'000'000);
+		}
+
+		// Guards against crashes on, and use of, entries by other writers.
+		TEST(a_store_answer, does_not_use_entries_with_missing_or_mistyped_fields)
+		{
+			for (
+				const auto* bad :
+				{"", "{", "[]", "7", "null", R"({"service":"desk"})",
+				 R"({"service":7,"address":"10.1.0.9:8080","zone":"a","max_concurrency":5,"state":"ready","cold_remaining_ms":0})",
+				 R"({"service":"desk","address":"nowhere","zone":"a","max_concurrency":5,"state":"ready","cold_remaining_ms":0})",
+				 R"({"service":"desk","address":"10.1.0.9:8080","zone":"a","max_concurrency":"5","state":"ready","cold_remaining_ms":0})",
+				 R"({"service":"desk","address":"10.1.0.9:8080","zone":"a","max_concurrency":5,"state":"asleep","cold_remaining_ms":0})",
+				 R"({"service":"desk","address":"10.1.0.9:8080","zone":"a","max_concurrency":5,"state":"ready","cold_remaining_ms":-1})"})
+			{
+				const auto value = decode_one("servers/i-1", bad);
+				EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(value)) << bad;
+			}
+			const auto answer = decode_answer(
+				200, R"({"items":[{"key":"servers/i-1","revision":7,"value":"*not base64*"}],"as_of":9})");
+			EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(answer.records.at(0).value));
+		}
+
+		// Guards against routes whose port or weights are lost.
+		TEST(a_store_answer, gives_the_configuration)
+		{
+			const auto value = decode_one(
+				"op/config",
+				R"({"version":7,"routes":[{"name":"r","host":"198.18.0.1","prefix":"/8443/","traffic_split":[)"
+				R"({"service":"desk","weight":90},{"service":"archive","weight":10}]},)"
+				R"({"name":"s","host":"198.18.0.2","prefix":"/80/","service":"desk"}],)"
+				R"("services":[{"name":"desk","cold_start_s":2.5,"cold_per_s":4.0}],"limits":{"idle_timeout_ms":15000}})");
+			const auto* it = std::get_if<steering::configuration>(&value);
+			ASSERT_NE(it, nullptr);
+			EXPECT_EQ(it->version, 7U);
+			ASSERT_EQ(it->routes.size(), 2U);
+			EXPECT_EQ(to_string(it->routes[0].address), "198.18.0.1:8443");
+			EXPECT_EQ(it->routes[0].services.at(0).weight, 9 * it->routes[0].services.at(1).weight);
+			EXPECT_EQ(it->services.at(0).cold_time.count(), 2'500);
+			EXPECT_EQ(it->idle_timeout.count(), 15'000);
+		}
+
+		// Guards against changes that are taken from an answer which is not one.
+		TEST(a_store_answer, tells_refusals_lost_history_and_nonsense_apart)
+		{
+			EXPECT_EQ(decode_answer(503, "").how, store_answer::outcome::refused);
+			EXPECT_EQ(decode_answer(429, "{}").how, store_answer::outcome::refused);
+			EXPECT_EQ(decode_answer(410, "").how, store_answer::outcome::history_gone);
+			EXPECT_EQ(decode_answer(200, R"({"items":[)").how, store_answer::outcome::malformed);
+			EXPECT_EQ(decode_answer(200, R"({"items":[]})").how, store_answer::outcome::malformed);
+			EXPECT_EQ(decode_answer(200, R"({"events":[{"key":"servers/i-1","revision":3,"removed":true}],"as_of":3})")
+						  .records.at(0)
+						  .value.index(),
+					  0U);
+		}
+
+		class a_settings_file : public ::testing::Test
+		{
+		protected:
+			std::filesystem::path path;
+
+			void SetUp() override
+			{
+				const auto* test = ::testing::UnitTest::GetInstance()->current_test_info();
+				path = std::filesystem::temp_directory_path() / (std::string{"nutmegturn-"} + test->name() + ".toml");
+			}
+
+			void TearDown() override
+			{
+				std::filesystem::remove(path);
+			}
+
+			result<steering::node_settings> read(const std::string& text, bool needs_upstream = false) const
+			{
+				std::ofstream{path} << text;
+				return read_settings(path.string(), needs_upstream);
+			}
+
+			const std::string good = "node_name = \"edge-1\"\nzone = \"a\"\nip = \"10.1.0.10\"\nunknown = [1, 2]\n"
+									 "internal_port_range = [7720, 7735]\nbootstrap = true\n"
+									 "[listen_addrs]\ndatagram_addr = \"10.1.0.10:8172\"\nready = \"10.1.0.10:8167\"\n"
+									 "[bounds]\ngrace_s = 6\n[platform]\naddress = \"10.200.1.7:8169\"\n";
+		};
+
+		// Guards against a start that fails because the platform gained a field.
+		TEST_F(a_settings_file, is_read_with_fields_that_are_not_known)
+		{
+			const auto settings = read(good);
+			ASSERT_TRUE(has_value(settings)) << to_string(std::get<1>(settings));
+			EXPECT_EQ(std::get<0>(settings).name, "edge-1");
+			EXPECT_EQ(std::get<0>(settings).peer_port, 7720);
+			EXPECT_TRUE(std::get<0>(settings).first_start);
+		}
+
+		// Guards against an error that leaves the operator to search for the field.
+		TEST_F(a_settings_file, is_refused_with_the_path_and_value_of_the_first_bad_field)
+		{
+			auto text = good;
+			text.replace(text.find("\"10.1.0.10:8172\""), 16, "\"10.1.0.10\"");
+			const auto refused = read(text);
+			ASSERT_FALSE(has_value(refused));
+			EXPECT_EQ(std::get<1>(refused).path, "listen_addrs.datagram_addr");
+			EXPECT_EQ(std::get<1>(refused).value, "10.1.0.10");
+			EXPECT_FALSE(has_value(read("node_name = ")));
+			EXPECT_EQ(std::get<1>(read(good, true)).path, "service");
+		}
+	}
+}
--- /dev/null
+++ b/tests/steering_agent_test.cpp
@@ -0,0 +1,233 @@
+#include "steering_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegturn::steering::testing
+{
+	namespace
+	{
+		class an_agent : public ::testing::Test
+		{
+		protected:
+			static constexpr ipv4 balancer{0x0a010901};
+
+			catalog known = small_catalog();
+			agent_state state;
+			monotonic_time now = start + 10s;
+
+			void SetUp() override
+			{
+				state.gate.instance = instance(1);
+				state.gate.zone = "a";
+				state.gate.service = key_of_service("desk");
+			}
+
+			agent_decision packet(message_kind kind, const segment& it)
+			{
+				return take_balancer_packet(state, known, about_flow(kind), it, balancer, now);
+			}
+
+			agent_decision upstream(const segment& it)
+			{
+				return take_upstream_packet(state, it, now);
+			}
+
+			void open_flow()
+			{
+				packet(message_kind::open, opening());
+				upstream(reply(0, true));
+				packet(message_kind::carry, data());
+				upstream(reply(50));
+			}
+		};
+
+		class an_agent_that_gets_an_opening_packet : public an_agent
+		{
+		};
+
+		// Guards against balancers that never learn which upstream accepted.
+		TEST_F(an_agent_that_gets_an_opening_packet, delivers_it_and_reports_the_acceptance)
+		{
+			EXPECT_TRUE(packet(message_kind::open, opening()).deliver);
+			const auto decision = upstream(reply(0, true));
+			EXPECT_TRUE(decision.to_caller);
+			ASSERT_EQ(decision.replies.size(), 1U);
+			EXPECT_EQ(decision.replies[0].kind, message_kind::held);
+			EXPECT_EQ(decision.replies[0].balancer, balancer);
+		}
+
+		// Guards against a packet of one service that runs at another after an address was used again.
+		TEST_F(an_agent_that_gets_an_opening_packet, declines_what_belongs_to_another_service)
+		{
+			state.gate.service = key_of_service("archive");
+			const auto decision = packet(message_kind::open, opening());
+			EXPECT_FALSE(decision.deliver);
+			EXPECT_EQ(decision.replies.at(0).why, intake::other_service);
+		}
+
+		// Guards against a balancer with an old configuration that opens flows which the newer one forbids.
+		TEST_F(an_agent_that_gets_an_opening_packet, declines_what_its_newer_configuration_sends_elsewhere)
+		{
+			put(known, "config", configured(9, {{.service = "archive", .weight = 1}}));
+			EXPECT_EQ(packet(message_kind::open, opening()).replies.at(0).why, intake::other_service);
+		}
+
+		// Guards against new work in an evacuated zone through a balancer that has not heard of the order.
+		TEST_F(an_agent_that_gets_an_opening_packet, declines_while_its_zone_is_evacuated)
+		{
+			put(known, "out/a", zone_evacuation{.zone = "a"});
+			EXPECT_EQ(packet(message_kind::open, opening()).replies.at(0).why, intake::evacuated);
+		}
+
+		// Guards against a refusal that is answered with silence: the packet has to reach another upstream.
+		TEST_F(an_agent_that_gets_an_opening_packet, returns_it_to_the_balancer_when_the_upstream_gives_it_back)
+		{
+			packet(message_kind::open, opening());
+			auto back = opening();
+			back.returned = true;
+			const auto decision = upstream(back);
+			EXPECT_FALSE(decision.to_caller);
+			ASSERT_EQ(decision.replies.size(), 1U);
+			EXPECT_EQ(decision.replies[0].kind, message_kind::declined);
+			EXPECT_TRUE(decision.replies[0].with_packet);
+		}
+
+		class an_agent_of_a_cold_upstream : public an_agent
+		{
+		protected:
+			std::uint16_t next_port = 1'000;
+
+			std::size_t admitted_at_once(std::size_t offered)
+			{
+				std::size_t n = 0;
+				for (std::size_t i = 0; i < offered; ++i)
+				{
+					auto it = opening();
+					it.source.port = next_port++;
+					n += packet(message_kind::open, it).deliver ? 1U : 0U;
+				}
+				upstream(reply(0, true));
+				return n;
+			}
+
+			void cold_with_rate(double rate)
+			{
+				auto config = configured(4, {{.service = "desk", .weight = 1}});
+				config.services[0].cold_requests_per_s = rate;
+				put(known, "config", config);
+				auto cold = entry(1, "desk", "a");
+				cold.cold_remaining = 60s;
+				put(known, "u1", cold, now);
+			}
+		};
+
+		// Guards against an upstream in cold start that falls over: the bound is 1.5 times the rate and 5 more.
+		TEST_F(an_agent_of_a_cold_upstream, admits_no_more_in_a_second_than_it_bears)
+		{
+			cold_with_rate(10.0);
+			EXPECT_LE(admitted_at_once(100), 20U);
+			now += 500ms;
+			EXPECT_EQ(admitted_at_once(100), 0U);
+			now += 500ms;
+			EXPECT_GE(admitted_at_once(100), 10U);
+		}
+
+		// Guards against turning callers away for seconds after every start where no rate is published.
+		TEST_F(an_agent_of_a_cold_upstream, is_not_limited_without_a_published_rate)
+		{
+			cold_with_rate(0.0);
+			EXPECT_EQ(admitted_at_once(100), 100U);
+		}
+
+		class an_agent_with_an_open_flow : public an_agent
+		{
+		};
+
+		// Guards against a load report that counts idle flows or answered requests as work.
+		TEST_F(an_agent_with_an_open_flow, counts_a_request_from_its_data_to_the_first_data_of_the_answer)
+		{
+			open_flow();
+			EXPECT_EQ(make_load_report(state, known, now).at_work, 0);
+			packet(message_kind::carry, data(101));
+			EXPECT_EQ(make_load_report(state, known, now).at_work, 1);
+			packet(message_kind::carry, data(101));
+			EXPECT_EQ(make_load_report(state, known, now).at_work, 1);
+			upstream(reply(0));
+			EXPECT_EQ(make_load_report(state, known, now).at_work, 1);
+			upstream(reply(1'200));
+			upstream(reply(1'200));
+			EXPECT_EQ(make_load_report(state, known, now).at_work, 0);
+			packet(message_kind::carry, data(101));
+			EXPECT_EQ(make_load_report(state, known, now).at_work, 0) << "a repeated packet is no new request";
+		}
+
+		// Guards against packets that keep going to an upstream which lost the flow: nobody told the balancer when the
+		// other of two upstreams that accepted the opening packet was the caller's choice.
+		TEST_F(an_agent_with_an_open_flow, tells_the_balancer_when_the_upstream_gives_a_packet_back)
+		{
+			packet(message_kind::open, opening());
+			upstream(reply(0, true));
+			packet(message_kind::carry, data());
+			auto back = data();
+			back.returned = true;
+			const auto decision = upstream(back);
+			ASSERT_EQ(decision.replies.size(), 1U);
+			EXPECT_EQ(decision.replies[0].kind, message_kind::not_held);
+			EXPECT_EQ(decision.replies[0].balancer, balancer);
+			EXPECT_TRUE(decision.replies[0].with_packet);
+		}
+
+		// Guards against callers that wait for an answer of an upstream that has ended.
+		TEST_F(an_agent_with_an_open_flow, resets_it_when_nothing_listens_at_the_upstream)
+		{
+			open_flow();
+			const auto resets = take_refusal(state, now);
+			ASSERT_EQ(resets.size(), 1U);
+			EXPECT_EQ(resets[0].flow, flow);
+			EXPECT_EQ(resets[0].sequence, 77U);
+			EXPECT_EQ(make_load_report(state, known, now).state, intake::upstream_unreachable);
+		}
+
+		// Guards against a search in the whole zone after each restart of a balancer.
+		TEST_F(an_agent_with_an_open_flow, announces_it_once_to_its_zone_and_again_to_a_new_balancer)
+		{
+			message greeting;
+			greeting.zone = key_of_zone("a");
+			EXPECT_TRUE(take_greeting(state, greeting, balancer, now).flows.empty());
+			open_flow();
+			const auto notices = collect_new_holdings(state);
+			ASSERT_EQ(notices.size(), 1U);
+			EXPECT_EQ(notices[0].flows, std::vector{flow});
+			EXPECT_EQ(notices[0].balancers, std::vector{balancer});
+			EXPECT_TRUE(collect_new_holdings(state).empty());
+			greeting.fresh = true;
+			EXPECT_EQ(take_greeting(state, greeting, ipv4{0x0a010902}, now).flows, std::vector{flow});
+		}
+
+		// Guards against copies of searched packets at upstreams that cannot hold the flow, and against an agent that
+		// restarted alone and denies flows which it has not seen.
+		TEST_F(an_agent_with_an_open_flow, answers_a_query_by_what_it_can_know)
+		{
+			const std::array asked{flow};
+			EXPECT_EQ(answer_query(state, asked).at(0).verdict, possession::unsure);
+			open_flow();
+			EXPECT_EQ(answer_query(state, asked).at(0).verdict, possession::held);
+			const flow_id other{.caller = {.ip = ipv4{1}, .port = 1}, .route = route_address};
+			EXPECT_EQ(answer_query(state, std::array{other}).at(0).verdict, possession::unsure);
+			state.knows_all_flows = true;
+			EXPECT_EQ(answer_query(state, std::array{other}).at(0).verdict, possession::not_held);
+		}
+
+		// Guards against searches that never end after a power loss, since no agent would claim to know its flows.
+		TEST_F(an_agent_with_an_open_flow, knows_all_flows_when_its_upstream_is_not_older)
+		{
+			auto own = entry(1, "desk", "a");
+			own.started_at_ms = 5'000'000;
+			put(known, "u1", own);
+			note_upstream_start(state, known, 5'060'000);
+			EXPECT_FALSE(state.knows_all_flows) << "the upstream has been there before this agent";
+			note_upstream_start(state, known, 5'000'900);
+			EXPECT_TRUE(state.knows_all_flows);
+		}
+	}
+}
--- /dev/null
+++ b/tests/steering_balancer_test.cpp
@@ -0,0 +1,252 @@
+#include "nutmegturn/steering/holder_search.hpp"
+
+#include "steering_world.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace nutmegturn::steering::testing
+{
+	namespace
+	{
+		using action = steering_decision::action;
+
+		class a_balancer : public ::testing::Test
+		{
+		protected:
+			catalog known = small_catalog();
+			balancer_state state{.zone = "a", .started = start, .flows = {}, .loads = {}};
+			monotonic_time now = start;
+
+			steering_decision packet(const segment& it, bool current = true)
+			{
+				return steer_packet(state, known, it, now, current);
+			}
+
+			steering_decision hear(message_kind kind, ipv4 agent, const segment* it = nullptr)
+			{
+				return take_agent_message(state, known, about_flow(kind), it, agent, now);
+			}
+		};
+
+		class a_balancer_that_opens_a_flow : public a_balancer
+		{
+		};
+
+		// Guards against flows that leave their zone although it has free slots.
+		TEST_F(a_balancer_that_opens_a_flow, chooses_an_upstream_of_its_own_zone)
+		{
+			const auto decision = packet(opening());
+			ASSERT_EQ(decision.what, action::forward);
+			EXPECT_EQ(decision.kind, message_kind::open);
+			ASSERT_EQ(decision.agents.size(), 1U);
+			EXPECT_NE(decision.agents[0], instance(3));
+			EXPECT_NE(decision.agents[0], instance(4));
+		}
+
+		// Guards against callers that wait for an upstream which has fallen silent.
+		TEST_F(a_balancer_that_opens_a_flow, sends_a_copy_elsewhere_while_the_first_choice_is_silent)
+		{
+			const auto first = packet(opening()).agents.at(0);
+			now += 200ms;
+			EXPECT_NE(packet(opening(1)).agents.at(0), first);
+		}
+
+		// Guards against one caller holding two flows because a copy opened another one.
+		TEST_F(a_balancer_that_opens_a_flow, sends_a_copy_to_the_upstream_that_accepted)
+		{
+			const auto first = packet(opening()).agents.at(0);
+			hear(message_kind::held, first);
+			now += 200ms;
+			EXPECT_EQ(packet(opening(1)).agents.at(0), first);
+		}
+
+		// Guards against a refusal while another upstream would have taken the flow.
+		TEST_F(a_balancer_that_opens_a_flow, tries_all_upstreams_before_it_refuses)
+		{
+			auto decision = packet(opening());
+			const auto again = opening();
+			std::vector<ipv4> tried;
+			while (decision.what == action::forward)
+			{
+				ASSERT_LT(tried.size(), 3U);
+				tried.push_back(decision.agents.at(0));
+				decision = hear(message_kind::declined, tried.back(), &again);
+			}
+			EXPECT_EQ(tried.size(), 3U);
+			EXPECT_EQ(decision.what, action::reset);
+			EXPECT_EQ(decision.why, steering_reason::all_declined);
+		}
+
+		// Guards against new work on upstreams that leave and in zones that are evacuated.
+		TEST_F(a_balancer_that_opens_a_flow, avoids_draining_upstreams_and_evacuated_zones)
+		{
+			auto draining = entry(1, "desk", "a");
+			draining.readiness = upstream_readiness::draining;
+			put(known, "u1", draining);
+			EXPECT_EQ(packet(opening()).agents.at(0), instance(2));
+			put(known, "out/a", zone_evacuation{.zone = "a"});
+			now += 200ms;
+			EXPECT_EQ(packet(opening(1)).agents.at(0), instance(3));
+		}
+
+		// Guards against a caller that waits for its timeout when nothing can serve it.
+		TEST_F(a_balancer_that_opens_a_flow, refuses_at_once_when_no_upstream_is_left)
+		{
+			for (const auto* key : {"u1", "u2", "u3"})
+			{
+				put(known, key, removed_record{});
+			}
+			const auto decision = packet(opening());
+			EXPECT_EQ(decision.what, action::reset);
+			EXPECT_EQ(decision.why, steering_reason::no_upstream);
+		}
+
+		// Guards against refusing a route that a newer configuration has.
+		TEST_F(a_balancer_that_opens_a_flow, refuses_an_unknown_route_only_with_a_current_configuration)
+		{
+			auto it = opening();
+			it.destination.port = 444;
+			EXPECT_EQ(packet(it, false).what, action::drop);
+			EXPECT_EQ(packet(it, true).what, action::reset);
+		}
+
+		class a_balancer_without_memory_of_a_flow : public a_balancer
+		{
+		};
+
+		// Guards against resets of open flows whose service the route no longer names: on a calm day 74 flows were
+		// reset by balancers that started after the weights had changed.
+		TEST_F(a_balancer_without_memory_of_a_flow, asks_the_upstreams_of_all_services_while_it_is_new)
+		{
+			const auto decision = packet(data());
+			EXPECT_EQ(decision.what, action::look_up);
+			EXPECT_EQ(decision.agents.size(), 4U);
+		}
+
+		// Guards against searches in a whole large deployment for the rest of a process's life.
+		TEST_F(a_balancer_without_memory_of_a_flow, later_asks_only_services_that_the_route_names_or_has_named)
+		{
+			now += former_upstream_retention;
+			EXPECT_EQ(packet(data()).agents.size(), 3U);
+			put(known, "config", configured(4, {{.service = "archive", .weight = 1}}), now);
+			now += 1s;
+			EXPECT_EQ(packet(data()).agents.size(), 4U);
+		}
+
+		// Guards against a flow that never counts as gone because an upstream that left cannot answer, and against a
+		// search that misses it while it still serves.
+		TEST_F(a_balancer_without_memory_of_a_flow, asks_an_upstream_without_entry_but_does_not_wait_for_it)
+		{
+			put(known, "u1", removed_record{});
+			const auto decision = packet(data());
+			EXPECT_EQ(decision.agents.size(), 4U);
+			EXPECT_EQ(std::ranges::count(decision.agents, instance(1)), 1);
+			EXPECT_EQ(std::ranges::count(decision.needed, instance(1)), 0);
+		}
+
+		// Guards against packets that go on to the upstream which the caller did not choose, when two accepted the
+		// opening.
+		TEST_F(a_balancer_without_memory_of_a_flow, searches_with_the_packet_that_a_wrong_holder_gave_back)
+		{
+			hear(message_kind::held, instance(1));
+			EXPECT_EQ(packet(data()).agents, std::vector{instance(1)});
+			const auto it = data();
+			const auto decision = hear(message_kind::not_held, instance(1), &it);
+			EXPECT_EQ(decision.what, action::look_up);
+			EXPECT_EQ(std::ranges::count(decision.agents, instance(1)), 0);
+			EXPECT_EQ(decision.agents.size(), 3U);
+		}
+
+		// Guards against searches by all balancers of a zone when the fabric moves flows between them.
+		TEST_F(a_balancer_without_memory_of_a_flow, learns_the_holders_of_its_zone_from_agents)
+		{
+			std::array<std::byte, encoded_flow_size> encoded{};
+			encode_flows(std::array{flow}, encoded);
+			message notice;
+			notice.kind = message_kind::holdings;
+			notice.packet = encoded;
+			EXPECT_EQ(take_agent_message(state, known, notice, nullptr, instance(3), now).what, action::drop);
+			const auto decision = packet(data());
+			EXPECT_EQ(decision.kind, message_kind::carry);
+			EXPECT_EQ(decision.agents, std::vector{instance(3)});
+		}
+
+		class a_search_for_a_holder : public ::testing::Test
+		{
+		protected:
+			using step = search_step::action;
+
+			holder_search search;
+			std::vector<std::byte> bytes{std::byte{1}, std::byte{2}};
+			monotonic_time now = start;
+
+			bool begin()
+			{
+				return begin_search(search, flow, bytes, 77, {instance(1), instance(2), instance(3)},
+									{instance(1), instance(2)}, now);
+			}
+
+			search_step answered(std::uint32_t number, possession verdict, bool complete = true)
+			{
+				return take_answer(search, instance(number), {.flow = flow, .verdict = verdict}, complete);
+			}
+		};
+
+		// Guards against links that choke after a power loss: copies of every packet went to all 53 upstreams, and
+		// service stayed below 0.6 for six seconds.
+		TEST_F(a_search_for_a_holder, asks_each_agent_once_for_all_packets_of_a_flow)
+		{
+			EXPECT_TRUE(begin());
+			now += 20ms;
+			EXPECT_FALSE(begin());
+			const auto queries = take_queries(search);
+			ASSERT_EQ(queries.size(), 3U);
+			EXPECT_EQ(queries.at(instance(3)), std::vector{flow});
+			EXPECT_TRUE(take_queries(search).empty());
+			now += search_timeout;
+			EXPECT_TRUE(begin()) << "a lost query is repeated";
+		}
+
+		// Guards against callers that wait until their retransmission although the holder is known.
+		TEST_F(a_search_for_a_holder, delivers_the_packet_that_began_it)
+		{
+			begin();
+			const auto found = answered(2, possession::held);
+			EXPECT_EQ(found.what, step::deliver);
+			EXPECT_EQ(found.packet, bytes);
+			EXPECT_EQ(answered(1, possession::held).what, step::none);
+		}
+
+		// Guards against a reset of an open flow because one agent answered two searches and the holder none.
+		TEST_F(a_search_for_a_holder, counts_each_agent_once_before_it_gives_the_flow_up)
+		{
+			begin();
+			EXPECT_EQ(answered(1, possession::not_held).what, step::none);
+			EXPECT_EQ(answered(1, possession::not_held).what, step::none);
+			EXPECT_EQ(answered(3, possession::not_held).what, step::none);
+			const auto gone = answered(2, possession::not_held);
+			EXPECT_EQ(gone.what, step::give_up);
+			EXPECT_EQ(gone.acknowledgement, 77U);
+		}
+
+		// Guards against a reset of a flow at an upstream whose agent has just restarted and knows nothing.
+		TEST_F(a_search_for_a_holder, tries_the_packet_where_an_agent_is_unsure)
+		{
+			begin();
+			answered(1, possession::not_held);
+			EXPECT_EQ(answered(2, possession::unsure).what, step::try_out);
+			EXPECT_TRUE(search.pending.contains(flow));
+			EXPECT_EQ(answered(2, possession::not_held).what, step::give_up);
+		}
+
+		// Guards against a reset while the holder's entry may be missing because the store was out of reach.
+		TEST_F(a_search_for_a_holder, gives_nothing_up_while_the_catalog_may_be_incomplete)
+		{
+			begin();
+			answered(1, possession::not_held, false);
+			EXPECT_EQ(answered(2, possession::not_held, false).what, step::none);
+		}
+	}
+}
--- /dev/null
+++ b/tests/steering_catalog_test.cpp
@@ -0,0 +1,134 @@
+#include "nutmegturn/steering/store_follower.hpp"
+
+#include "steering_world.hpp"
+
+#include <gtest/gtest.h>
+
+namespace nutmegturn::steering::testing
+{
+	namespace
+	{
+		class a_catalog : public ::testing::Test
+		{
+		protected:
+			catalog known = small_catalog();
+
+			[[nodiscard]] bool accepts(const std::string& key, monotonic_time now = start) const
+			{
+				return accepts_new_flows(known, known.upstreams.at(key), now);
+			}
+		};
+
+		// Guards against a configuration that goes back to an older version.
+		TEST_F(a_catalog, never_takes_an_older_configuration)
+		{
+			EXPECT_EQ(put(known, "config", configured(2, {{.service = "archive", .weight = 1}})), record_effect::none);
+			EXPECT_EQ(known.version, 3U);
+			EXPECT_EQ(known.routes.at(route_address).services.at(0).first, key_of_service("desk"));
+		}
+
+		// Guards against use of an entry that another writer has spoiled.
+		TEST_F(a_catalog, does_not_use_an_entry_that_became_unreadable)
+		{
+			EXPECT_EQ(put(known, "u1", unreadable_record{.problem = "test"}), record_effect::unreadable);
+			EXPECT_FALSE(accepts("u1"));
+			EXPECT_TRUE(accepts("u2"));
+		}
+
+		// Guards against losing all upstreams when their entries lapse while the store is out of reach.
+		TEST_F(a_catalog, gives_entries_that_lapsed_in_an_outage_two_seconds_to_return)
+		{
+			put(known, "u1", removed_record{}, start, true);
+			EXPECT_TRUE(accepts("u1", start + 2s));
+			EXPECT_FALSE(accepts("u1", start + 2'500ms));
+			put(known, "u2", removed_record{}, start, false);
+			EXPECT_FALSE(accepts("u2", start));
+		}
+
+		// Guards against searches that miss the holder: an upstream without entry still has its flows.
+		TEST_F(a_catalog, keeps_upstreams_without_entry_as_possible_holders_for_the_life_of_a_flow)
+		{
+			put(known, "u1", removed_record{}, start);
+			forget_former(known, start + 59s);
+			EXPECT_TRUE(known.upstreams.contains("u1"));
+			forget_former(known, start + 61s);
+			EXPECT_FALSE(known.upstreams.contains("u1"));
+			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 2U);
+		}
+
+		// Guards against upstreams and evacuations that a full listing no longer has.
+		TEST_F(a_catalog, removes_what_a_complete_listing_of_the_group_lacks)
+		{
+			put(known, "out/a", zone_evacuation{.zone = "a"});
+			finish_listing(known, record_group::upstreams, {"u2", "u3", "u4"}, start, false);
+			EXPECT_FALSE(known.upstreams.at("u1").listed);
+			EXPECT_TRUE(known.evacuated.contains("a"));
+			finish_listing(known, record_group::operator_orders, {"config"}, start, false);
+			EXPECT_FALSE(known.evacuated.contains("a"));
+		}
+
+		// Guards against copies of one opening packet that go to different services.
+		TEST_F(a_catalog, splits_flows_by_weight_and_the_same_flow_always_alike)
+		{
+			put(known, "config",
+				configured(4, {{.service = "desk", .weight = 9}, {.service = "archive", .weight = 1}}));
+			const auto& route = known.routes.at(route_address);
+			int archive = 0;
+			for (std::uint64_t hash = 0; hash < 10'000; ++hash)
+			{
+				EXPECT_EQ(choose_service(route, hash), choose_service(route, hash));
+				archive += choose_service(route, hash) == key_of_service("archive") ? 1 : 0;
+			}
+			EXPECT_NEAR(archive, 1'000, 120);
+		}
+
+		class a_store_follower : public ::testing::Test
+		{
+		protected:
+			store_follower it;
+		};
+
+		// Guards against changes that are lost between the pages of a listing.
+		TEST_F(a_store_follower, watches_from_the_revision_of_the_first_page)
+		{
+			EXPECT_FALSE(note_listing(it, 10, "k5", true, start));
+			EXPECT_TRUE(note_listing(it, 14, "k9", false, start));
+			EXPECT_EQ(it.next, store_follower::step::watch);
+			EXPECT_EQ(it.revision, 10U);
+		}
+
+		// Guards against a process that goes on with gaps after the history was dropped.
+		TEST_F(a_store_follower, lists_again_when_the_history_is_gone)
+		{
+			note_listing(it, 10, "", false, start);
+			note_history_gone(it, start);
+			EXPECT_EQ(it.next, store_follower::step::list);
+		}
+
+		// Guards against a flood of calls to a store that is down.
+		TEST_F(a_store_follower, waits_longer_after_each_failure_up_to_about_a_second)
+		{
+			note_failure(it, 0, start);
+			EXPECT_EQ(it.due, start + 200ms);
+			for (int i = 0; i < 10; ++i)
+			{
+				note_failure(it, 99, start);
+			}
+			EXPECT_EQ(it.due, start + 1'099ms);
+		}
+
+		// Guards against trust in the store's contents while lapsed entries are still coming back.
+		TEST_F(a_store_follower, counts_as_settling_until_entries_had_time_to_return)
+		{
+			note_listing(it, 10, "", false, start);
+			EXPECT_FALSE(is_settling(it, start));
+			note_failure(it, 0, start);
+			EXPECT_TRUE(is_settling(it, start));
+			EXPECT_FALSE(is_current(it, start));
+			note_watch(it, 11, true, start + 5s);
+			EXPECT_TRUE(is_settling(it, start + 7s));
+			EXPECT_FALSE(is_settling(it, start + 8s));
+			EXPECT_TRUE(is_current(it, start + 8s));
+		}
+	}
+}
--- /dev/null
+++ b/tests/steering_world.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "nutmegturn/steering/agent_flows.hpp"
+#include "nutmegturn/steering/balancer_flows.hpp"
+
+#include <string>
+
+namespace nutmegturn::steering::testing
+{
+	using namespace std::chrono_literals;
+
+	inline constexpr monotonic_time start{std::chrono::hours{1}};
+	inline constexpr ipv4_endpoint route_address{.ip = ipv4{0xc6120001}, .port = 443};
+	inline constexpr ipv4_endpoint caller_address{.ip = ipv4{0x64400007}, .port = 40'001};
+	inline constexpr flow_id flow{.caller = caller_address, .route = route_address};
+
+	/// Returns the instance of upstream `number`.
+	[[nodiscard]] inline ipv4 instance(std::uint32_t number)
+	{
+		return ipv4{0x0a010000U + number};
+	}
+
+	/// Returns the entry of upstream `number`, ready and warm.
+	[[nodiscard]] inline upstream_entry entry(std::uint32_t number, const std::string& service, const std::string& zone)
+	{
+		upstream_entry it;
+		it.service = service;
+		it.address = {.ip = instance(number), .port = 8080};
+		it.zone = zone;
+		it.slots = 5;
+		return it;
+	}
+
+	/// Puts a record into a catalog.
+	inline record_effect put(catalog& known, const std::string& key, record_value value, monotonic_time now = start,
+							 bool store_was_away = false)
+	{
+		return apply_record(known, {.key = key, .revision = 1, .value = std::move(value)}, now, store_was_away);
+	}
+
+	/// Returns a configuration with one route to the given services.
+	[[nodiscard]] inline configuration configured(std::uint64_t version, std::vector<weighted_service> services)
+	{
+		configuration it;
+		it.version = version;
+		it.routes.push_back({.address = route_address, .services = std::move(services)});
+		it.services.push_back({.name = "desk", .cold_time = 2s, .cold_requests_per_s = 0.0});
+		it.services.push_back({.name = "archive", .cold_time = 2s, .cold_requests_per_s = 0.0});
+		return it;
+	}
+
+	/// Returns a catalog with three upstreams of `desk` (1 and 2 in zone `a`, 3 in `b`) and one of `archive` (4 in
+	/// `a`); the route leads to `desk`.
+	[[nodiscard]] inline catalog small_catalog()
+	{
+		catalog known;
+		put(known, "config", configured(3, {{.service = "desk", .weight = 1}}));
+		put(known, "u1", entry(1, "desk", "a"));
+		put(known, "u2", entry(2, "desk", "a"));
+		put(known, "u3", entry(3, "desk", "b"));
+		put(known, "u4", entry(4, "archive", "a"));
+		return known;
+	}
+
+	/// Returns an opening packet of the caller.
+	/// \param copy	0 for the first, 1 and 2 for its copies.
+	[[nodiscard]] inline segment opening(std::uint32_t copy = 0)
+	{
+		segment it;
+		it.source = caller_address;
+		it.destination = route_address;
+		it.opens = true;
+		it.acknowledgement = copy;
+		return it;
+	}
+
+	/// Returns a packet of the caller with data.
+	[[nodiscard]] inline segment data(std::uint32_t sequence = 1, std::uint16_t size = 100)
+	{
+		segment it;
+		it.source = caller_address;
+		it.destination = route_address;
+		it.acknowledges = true;
+		it.sequence = sequence;
+		it.acknowledgement = 77;
+		it.payload_size = size;
+		return it;
+	}
+
+	/// Returns a packet of the upstream to the caller.
+	[[nodiscard]] inline segment reply(std::uint16_t size, bool opens = false)
+	{
+		segment it;
+		it.source = route_address;
+		it.destination = caller_address;
+		it.acknowledges = true;
+		it.opens = opens;
+		it.payload_size = size;
+		return it;
+	}
+
+	/// Returns a message about the flow.
+	[[nodiscard]] inline message about_flow(message_kind kind, const flow_id& id = flow)
+	{
+		message it;
+		it.kind = kind;
+		it.flow = id;
+		it.service = key_of_service("desk");
+		it.version = 3;
+		return it;
+	}
+}
