Relay the operator's orders to processes that the store turns away

Change: messages carry the newest revision of the operator's orders that the sender knows; a process that cannot reach the store reads newer orders from the sender, in the form of a listing. A record that is not newer than what is known of its key changes nothing, whatever its source.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -21,6 +21,13 @@
 	/// Returns the key of a service.
 	[[nodiscard]] service_key key_of_service(std::string_view name) noexcept;
 
+	/// Records that are listed and watched together.
+	enum class record_group : std::uint8_t
+	{
+		operator_orders,
+		upstreams
+	};
+
 	/// Upstream with what the process knows of it.
 	struct known_upstream
 	{
@@ -52,6 +59,8 @@
 		std::map<std::string, std::string> evacuated;   ///< Zone to the key of the order.
 		std::map<std::string, monotonic_time> returned; ///< Zone to the time when its evacuation ended.
 		std::map<service_key, std::vector<const known_upstream*>> by_service;
+		std::map<std::string, std::uint64_t> revisions; ///< Newest revision seen of each key.
+		std::uint64_t orders_revision = 0;              ///< Newest revision of an order of the operator.
 		std::uint64_t unreadable = 0; ///< Records that were ignored.
 	};
 
@@ -77,17 +86,13 @@
 	/// Returns the name for logs.
 	[[nodiscard]] std::string_view to_string(record_effect effect) noexcept;
 
-	/// Takes over one record.
+	/// Takes over one record. A record that is not newer than what is known of its key changes nothing, so records may
+	/// come from several sources in any order.
+	/// \param group	Group of the record's key.
 	/// \param store_was_away	Whether the store was out of reach shortly before, so that missing entries may return.
 	/// \returns				What it changed.
-	record_effect apply_record(catalog& known, const store_record& it, monotonic_time now, bool store_was_away);
-
-	/// Records that are listed and watched together.
-	enum class record_group : std::uint8_t
-	{
-		operator_orders,
-		upstreams
-	};
+	record_effect apply_record(catalog& known, record_group group, const store_record& it, monotonic_time now,
+							   bool store_was_away);
 
 	/// Ends a complete listing of a group: what the catalog holds of it but the listing lacked was removed.
 	/// \param listed	All keys of the listing.
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -59,6 +59,7 @@
 		message_kind kind = message_kind::greeting;
 		service_key service{};     ///< open: service chosen for the flow.
 		std::uint64_t version = 0; ///< Newest configuration that the sender knows.
+		std::uint64_t orders_revision = 0; ///< Newest order of the operator that the sender knows.
 		flow_id flow;              ///< held, not_held.
 		load_report load;          ///< From agents.
 		std::uint32_t zone = 0;    ///< greeting: key of the balancer's availability zone.
@@ -111,7 +112,7 @@
 	[[nodiscard]] std::uint32_t key_of_zone(std::string_view name) noexcept;
 
 	/// Largest size of a message without its packet, in bytes.
-	inline constexpr std::size_t message_head_size = 40;
+	inline constexpr std::size_t message_head_size = 48;
 
 	/// Writes a message.
 	/// \param out	At least `message_head_size` and the packet's size.
--- a/include/nutmegturn/steering/records.hpp
+++ b/include/nutmegturn/steering/records.hpp
@@ -88,5 +88,6 @@
 		std::string key;
 		std::uint64_t revision = 0;
 		record_value value;
+		std::string encoded; ///< The record as the store sent it, for other processes of the system.
 	};
 }
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -100,6 +100,10 @@
 				{
 					return {.status = node_.loaded() && !state_.gate.stopping ? 200 : 503, .body = {}};
 				}
+				if (path == orders_path)
+				{
+					return {.status = 200, .body = node_.orders.listing()};
+				}
 				return {.status = 404, .body = {}};
 			}
 
@@ -114,6 +118,7 @@
 					{
 						continue;
 					}
+					node_.hear_of_orders(from->ip, it->orders_revision);
 					if (it->kind == message_kind::greeting)
 					{
 						greet(*it, from->ip);
@@ -257,6 +262,7 @@
 				message it;
 				it.kind = kind;
 				it.version = node_.known.version;
+				it.orders_revision = node_.known.orders_revision;
 				it.flow = flow;
 				it.load = load;
 				it.packet = packet;
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -103,6 +103,10 @@
 					const bool ready = learned && !stopping_;
 					return {.status = ready ? 200 : 503, .body = {}};
 				}
+				if (path == orders_path)
+				{
+					return {.status = 200, .body = node_.orders.listing()};
+				}
 				return {.status = 404, .body = {}};
 			}
 
@@ -133,6 +137,7 @@
 					const auto from = to_ipv4(batch_.source(i));
 					if (it && from)
 					{
+						node_.hear_of_orders(from->ip, it->orders_revision);
 						take_message(*it, from->ip);
 					}
 				}
@@ -217,6 +222,7 @@
 				it.kind = decision.kind;
 				it.service = decision.service;
 				it.version = node_.known.version;
+				it.orders_revision = node_.known.orders_revision;
 				it.packet = bytes;
 				send(decision.agents.front(), it);
 			}
@@ -226,6 +232,7 @@
 				message it;
 				it.kind = kind;
 				it.version = node_.known.version;
+				it.orders_revision = node_.known.orders_revision;
 				it.packet = bytes;
 				send(agent, it);
 			}
@@ -299,6 +306,7 @@
 			{
 				message it;
 				it.version = node_.known.version;
+				it.orders_revision = node_.known.orders_revision;
 				it.zone = steering::key_of_zone(node_.settings.zone);
 				it.fresh = !greeted_;
 				for (const auto& [key, upstream] : node_.known.upstreams)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -5,6 +5,15 @@
 namespace nutmegturn::node
 {
 	using steering::record_group;
+	using steering::to_endpoint;
+
+	namespace
+	{
+		/// Between attempts to read orders from another process.
+		constexpr std::chrono::milliseconds relay_interval{500};
+
+		constexpr std::chrono::milliseconds relay_timeout{400};
+	}
 
 	node::node(const steering::node_settings& given, node_log& out)
 		: settings{given}, log{out},
@@ -25,6 +34,21 @@
 		upstreams.start();
 	}
 
+	void node::hear_of_orders(steering::ipv4 instance, std::uint64_t revision)
+	{
+		const auto now = loop.now();
+		if (!orders.state().away || revision <= known.orders_revision || now - relay_asked < relay_interval)
+		{
+			return;
+		}
+		relay_asked = now;
+		// Addresses of the status servers differ in the instance only.
+		relay = std::make_unique<http_connection>(
+			loop, to_endpoint({.ip = instance, .port = settings.readiness.port}));
+		relay->get(std::string{orders_path}, relay_timeout,
+				   [this](const http_outcome& outcome) { orders.take_relayed(outcome); });
+	}
+
 	bool node::loaded() const noexcept
 	{
 		return orders.state().listed_once && upstreams.state().listed_once && known.version != 0;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -5,6 +5,8 @@
 #include "node/status_server.hpp"
 #include "node/store_reader.hpp"
 
+#include <memory>
+
 namespace nutmegturn::node
 {
 	/// What both roles share: settings, log, loop, catalog and the readers of the metadata store.
@@ -19,6 +21,12 @@
 		/// Starts to read the metadata store.
 		void start();
 
+		/// Hears which orders of the operator a process knows. While the store is out of reach, newer ones are read from it.
+		///
+		/// Load pattern: the store turns some instances away for seconds while the operator changes routes; without this
+		/// they place flows by an old configuration, which agents decline.
+		void hear_of_orders(steering::ipv4 instance, std::uint64_t revision);
+
 		/// Returns whether everything was read once.
 		[[nodiscard]] bool loaded() const noexcept;
 
@@ -34,8 +42,13 @@
 		steering::catalog known;
 		store_reader orders;
 		store_reader upstreams;
+		std::unique_ptr<http_connection> relay; ///< Connection to the process from which orders are read.
+		monotonic_time relay_asked;
 	};
 
+	/// Path at which a process serves the operator's orders to others.
+	inline constexpr std::string_view orders_path = "/orders";
+
 	/// Returns the seed for this process's random choices.
 	[[nodiscard]] std::uint64_t process_seed(const steering::node_settings& settings) noexcept;
 
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -120,11 +120,15 @@
 
 	void store_reader::apply(const steering::store_record& it)
 	{
-		const auto effect = apply_record(known_, it, loop_.now(), is_settling(follower_, loop_.now()));
+		const auto effect = apply_record(known_, group_, it, loop_.now(), is_settling(follower_, loop_.now()));
 		if (effect == steering::record_effect::none)
 		{
 			return;
 		}
+		if (group_ == steering::record_group::operator_orders)
+		{
+			keep_encoded(it);
+		}
 		if (effect == steering::record_effect::configured)
 		{
 			log_cold_rates();
@@ -136,6 +140,48 @@
 			{{"key", it.key}, {"revision", std::to_string(it.revision)}, {"version", std::to_string(known_.version)}});
 	}
 
+	void store_reader::keep_encoded(const steering::store_record& it)
+	{
+		if (std::holds_alternative<steering::removed_record>(it.value))
+		{
+			encoded_.erase(it.key);
+		}
+		else
+		{
+			encoded_[it.key] = it.encoded;
+		}
+	}
+
+	std::string store_reader::listing() const
+	{
+		std::vector<std::string> records;
+		for (const auto& [key, encoded] : encoded_)
+		{
+			records.push_back(encoded);
+		}
+		return platform::encode_listing(records, known_.orders_revision);
+	}
+
+	void store_reader::take_relayed(const http_outcome& outcome)
+	{
+		const auto answer = platform::decode_answer(outcome.status, outcome.body);
+		if (answer.how != platform::store_answer::outcome::complete || answer.revision <= known_.orders_revision)
+		{
+			return;
+		}
+		std::set<std::string> listed;
+		for (const auto& it : answer.records)
+		{
+			apply(it);
+			listed.insert(it.key);
+		}
+		finish_listing(known_, group_, listed, loop_.now(), false);
+		std::erase_if(encoded_, [&listed](const auto& it) { return !listed.contains(it.first); });
+		known_.orders_revision = std::max(known_.orders_revision, answer.revision);
+		log_.write(log_level::info, "orders_relayed", "took the operator's orders from another process",
+				   {{"revision", std::to_string(answer.revision)}, {"version", std::to_string(known_.version)}});
+	}
+
 	void store_reader::log_cold_rates()
 	{
 		for (const auto& [key, service] : known_.services)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -31,6 +31,12 @@
 		/// Starts to read.
 		void start();
 
+		/// Returns the operator's orders as a listing for another process.
+		[[nodiscard]] std::string listing() const;
+
+		/// Takes the operator's orders that another process sent; older ones change nothing.
+		void take_relayed(const http_outcome& outcome);
+
 		/// Returns how far the reader has come.
 		[[nodiscard]] const steering::store_follower& state() const noexcept
 		{
@@ -49,6 +55,7 @@
 		void take_outcome(const http_outcome& outcome);
 		void take_listing(const platform::store_answer& answer);
 		void take_watch(const platform::store_answer& answer);
+		void keep_encoded(const steering::store_record& it);
 		void log_cold_rates();
 		void fail(const std::string& why);
 		void choose_key();
@@ -63,6 +70,7 @@
 		std::string only_key_; ///< Key that is watched alone; empty for the whole group.
 		steering::store_follower follower_;
 		random_source random_;
+		std::map<std::string, std::string> encoded_; ///< The operator's orders as the store sent them.
 		std::uint64_t calls_ = 0;
 	};
 }
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -129,8 +129,19 @@
 		return effect_names[static_cast<std::size_t>(effect)];
 	}
 
-	record_effect apply_record(catalog& known, const store_record& it, monotonic_time now, bool store_was_away)
+	record_effect apply_record(catalog& known, record_group group, const store_record& it, monotonic_time now,
+							   bool store_was_away)
 	{
+		auto& newest = known.revisions[it.key];
+		if (it.revision <= newest)
+		{
+			return record_effect::none;
+		}
+		newest = it.revision;
+		if (group == record_group::operator_orders)
+		{
+			known.orders_revision = std::max(known.orders_revision, it.revision);
+		}
 		if (std::holds_alternative<removed_record>(it.value))
 		{
 			return remove_record(known, it.key, now, store_was_away);
@@ -183,6 +194,13 @@
 
 	void forget_former(catalog& known, monotonic_time now)
 	{
+		for (const auto& [key, it] : known.upstreams)
+		{
+			if (!it.listed && now - it.removed > former_upstream_retention)
+			{
+				known.revisions.erase(key);
+			}
+		}
 		const auto n =
 			std::erase_if(known.upstreams, [now](const auto& it)
 						  { return !it.second.listed && now - it.second.removed > former_upstream_retention; });
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -9,7 +9,7 @@
 	namespace
 	{
 		constexpr std::uint8_t magic = 0x4e;
-		constexpr std::size_t prefix_size = 10; ///< Magic, kind and configuration version.
+		constexpr std::size_t prefix_size = 18; ///< Magic, kind, configuration version and revision.
 
 		constexpr std::array<std::string_view, 8> intake_names{
 			"open", "other_service", "draining", "evacuated", "cold", "full", "upstream_unreachable", "stopping"};
@@ -149,6 +149,7 @@
 		to.put(magic);
 		to.put(static_cast<std::uint8_t>(it.kind));
 		to.put(it.version);
+		to.put(it.orders_revision);
 		if (it.kind == message_kind::open)
 		{
 			to.put(static_cast<std::uint32_t>(it.service));
@@ -190,6 +191,7 @@
 		message it;
 		it.kind = message_kind{kind};
 		it.version = in.take<std::uint64_t>();
+		it.orders_revision = in.take<std::uint64_t>();
 		if (in.in.size() < fields_size(it.kind))
 		{
 			return std::nullopt;
--- a/tests/steering_world.hpp
+++ b/tests/steering_world.hpp
@@ -35,7 +35,10 @@
 	inline record_effect put(catalog& known, const std::string& key, record_value value, monotonic_time now = start,
 							 bool store_was_away = false)
 	{
-		return apply_record(known, {.key = key, .revision = 1, .value = std::move(value)}, now, store_was_away);
+		const auto group = key.starts_with('u') ? record_group::upstreams : record_group::operator_orders;
+		const auto revision = known.revisions[key] + 1;
+		return apply_record(known, group, {.key = key, .revision = revision, .value = std::move(value)}, now,
+							store_was_away);
 	}
 
 	/// Returns a configuration with one route to the given services.
