Load from other balancers when the store is out of reach at the start

Change: balancers serve the control role, so settings name some as seeds. A process that has read nothing from the store asks a seed every 200 ms for the operator's orders and all upstream entries. While a service's limits are unknown an agent admits five new flows a second, which the published bounds always allow.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -61,7 +61,7 @@
 		std::map<service_key, std::vector<const known_upstream*>> by_service;
 		std::map<std::string, std::uint64_t> revisions; ///< Newest revision seen of each key.
 		std::uint64_t orders_revision = 0;              ///< Newest revision of an order of the operator.
-		std::uint64_t unreadable = 0; ///< Records that were ignored.
+		std::uint64_t unreadable = 0;                   ///< Records that were ignored.
 	};
 
 	/// How long an upstream without entry is kept as a possible holder of flows.
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -57,13 +57,13 @@
 	struct message
 	{
 		message_kind kind = message_kind::greeting;
-		service_key service{};     ///< open: service chosen for the flow.
-		std::uint64_t version = 0; ///< Newest configuration that the sender knows.
+		service_key service{};             ///< open: service chosen for the flow.
+		std::uint64_t version = 0;         ///< Newest configuration that the sender knows.
 		std::uint64_t orders_revision = 0; ///< Newest order of the operator that the sender knows.
-		flow_id flow;              ///< held, not_held.
-		load_report load;          ///< From agents.
-		std::uint32_t zone = 0;    ///< greeting: key of the balancer's availability zone.
-		bool fresh = false;        ///< greeting: the balancer has just started and knows no flows.
+		flow_id flow;                      ///< held, not_held.
+		load_report load;                  ///< From agents.
+		std::uint32_t zone = 0;            ///< greeting: key of the balancer's availability zone.
+		bool fresh = false;                ///< greeting: the balancer has just started and knows no flows.
 
 		/// open, carry, search, declined, not_held: the caller's packet. holdings, query: encoded flows. answers:
 		/// encoded flows with a verdict each.
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -107,6 +107,10 @@
 				{
 					return {.status = 200, .body = node_.orders.listing()};
 				}
+				if (path == upstreams_path)
+				{
+					return {.status = 200, .body = node_.upstreams.listing()};
+				}
 				return {.status = 404, .body = {}};
 			}
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -13,6 +13,9 @@
 		constexpr std::chrono::milliseconds relay_interval{500};
 
 		constexpr std::chrono::milliseconds relay_timeout{400};
+
+		/// Between attempts to load everything from a seed.
+		constexpr std::chrono::milliseconds seed_interval{200};
 	}
 
 	node::node(const steering::node_settings& given, node_log& out)
@@ -32,6 +35,7 @@
 	{
 		orders.start();
 		upstreams.start();
+		loop.at(loop.now() + seed_interval, [this] { load_from_seeds(); });
 	}
 
 	void node::hear_of_orders(steering::ipv4 instance, std::uint64_t revision)
@@ -43,12 +47,31 @@
 		}
 		relay_asked = now;
 		// Addresses of the status servers differ in the instance only.
-		relay = std::make_unique<http_connection>(
-			loop, to_endpoint({.ip = instance, .port = settings.readiness.port}));
+		relay = std::make_unique<http_connection>(loop, to_endpoint({.ip = instance, .port = settings.readiness.port}));
 		relay->get(std::string{orders_path}, relay_timeout,
 				   [this](const http_outcome& outcome) { orders.take_relayed(outcome); });
 	}
 
+	void node::load_from_seeds()
+	{
+		if (loaded() || settings.seeds.empty())
+		{
+			return;
+		}
+		const auto seed = settings.seeds[next_seed++ % settings.seeds.size()];
+		if (seed != settings.instance && (orders.state().away || upstreams.state().away))
+		{
+			const auto server = to_endpoint({.ip = seed, .port = settings.readiness.port});
+			seed_orders = std::make_unique<http_connection>(loop, server);
+			seed_orders->get(std::string{orders_path}, relay_timeout,
+							 [this](const http_outcome& outcome) { orders.take_relayed(outcome); });
+			seed_upstreams = std::make_unique<http_connection>(loop, server);
+			seed_upstreams->get(std::string{upstreams_path}, relay_timeout,
+								[this](const http_outcome& outcome) { upstreams.take_relayed(outcome); });
+		}
+		loop.at(loop.now() + seed_interval, [this] { load_from_seeds(); });
+	}
+
 	bool node::loaded() const noexcept
 	{
 		return orders.state().listed_once && upstreams.state().listed_once && known.version != 0;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -21,12 +21,17 @@
 		/// Starts to read the metadata store.
 		void start();
 
-		/// Hears which orders of the operator a process knows. While the store is out of reach, newer ones are read from it.
+		/// Hears which orders of the operator a process knows. While the store is out of reach, newer ones are read
+		/// from it.
 		///
-		/// Load pattern: the store turns some instances away for seconds while the operator changes routes; without this
-		/// they place flows by an old configuration, which agents decline.
+		/// Load pattern: the store turns some instances away for seconds while the operator changes routes; without
+		/// this they place flows by an old configuration, which agents decline.
 		void hear_of_orders(steering::ipv4 instance, std::uint64_t revision);
 
+		/// Reads everything from other balancers as long as nothing could be read from the store. A process that starts
+		/// while the store is down serves with what they know.
+		void load_from_seeds();
+
 		/// Returns whether everything was read once.
 		[[nodiscard]] bool loaded() const noexcept;
 
@@ -42,13 +47,19 @@
 		steering::catalog known;
 		store_reader orders;
 		store_reader upstreams;
-		std::unique_ptr<http_connection> relay; ///< Connection to the process from which orders are read.
+		std::unique_ptr<http_connection> relay;          ///< Connection to the process from which orders are read.
+		std::unique_ptr<http_connection> seed_orders;    ///< Connection to a seed.
+		std::unique_ptr<http_connection> seed_upstreams; ///< Connection to a seed.
+		std::size_t next_seed = 0;
 		monotonic_time relay_asked;
 	};
 
 	/// Path at which a process serves the operator's orders to others.
 	inline constexpr std::string_view orders_path = "/orders";
 
+	/// Path at which a balancer serves the entries of all upstreams to others.
+	inline constexpr std::string_view upstreams_path = "/upstreams";
+
 	/// Returns the seed for this process's random choices.
 	[[nodiscard]] std::uint64_t process_seed(const steering::node_settings& settings) noexcept;
 
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -125,10 +125,7 @@
 		{
 			return;
 		}
-		if (group_ == steering::record_group::operator_orders)
-		{
-			keep_encoded(it);
-		}
+		keep_encoded(it);
 		if (effect == steering::record_effect::configured)
 		{
 			log_cold_rates();
@@ -159,13 +156,17 @@
 		{
 			records.push_back(encoded);
 		}
-		return platform::encode_listing(records, known_.orders_revision);
+		const bool orders = group_ == steering::record_group::operator_orders;
+		return platform::encode_listing(records, orders ? known_.orders_revision : follower_.revision);
 	}
 
 	void store_reader::take_relayed(const http_outcome& outcome)
 	{
 		const auto answer = platform::decode_answer(outcome.status, outcome.body);
-		if (answer.how != platform::store_answer::outcome::complete || answer.revision <= known_.orders_revision)
+		const bool orders = group_ == steering::record_group::operator_orders;
+		const auto newest = orders ? known_.orders_revision : follower_.revision;
+		if (answer.how != platform::store_answer::outcome::complete || answer.revision <= newest ||
+			answer.records.empty())
 		{
 			return;
 		}
@@ -177,8 +178,13 @@
 		}
 		finish_listing(known_, group_, listed, loop_.now(), false);
 		std::erase_if(encoded_, [&listed](const auto& it) { return !listed.contains(it.first); });
-		known_.orders_revision = std::max(known_.orders_revision, answer.revision);
-		log_.write(log_level::info, "orders_relayed", "took the operator's orders from another process",
+		if (orders)
+		{
+			known_.orders_revision = std::max(known_.orders_revision, answer.revision);
+		}
+		follower_.listed_once = true;
+		log_.write(log_level::info, orders ? "orders_relayed" : "upstreams_relayed",
+				   "took records from another process while the metadata store is out of reach",
 				   {{"revision", std::to_string(answer.revision)}, {"version", std::to_string(known_.version)}});
 	}
 
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -31,10 +31,10 @@
 		/// Starts to read.
 		void start();
 
-		/// Returns the operator's orders as a listing for another process.
+		/// Returns the group's records as a listing for another process.
 		[[nodiscard]] std::string listing() const;
 
-		/// Takes the operator's orders that another process sent; older ones change nothing.
+		/// Takes the group's records that another process sent; older ones change nothing.
 		void take_relayed(const http_outcome& outcome);
 
 		/// Returns how far the reader has come.
@@ -70,7 +70,7 @@
 		std::string only_key_; ///< Key that is watched alone; empty for the whole group.
 		steering::store_follower follower_;
 		random_source random_;
-		std::map<std::string, std::string> encoded_; ///< The operator's orders as the store sent them.
+		std::map<std::string, std::string> encoded_; ///< The group's records as the store sent them.
 		std::uint64_t calls_ = 0;
 	};
 }
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -12,6 +12,9 @@
 		/// Admitted in a window beyond the published rate, so that a rate below one a second still lets flows in.
 		constexpr double cold_allowance = 2.0;
 
+		/// Admitted in a window while the service's limits are not known.
+		constexpr std::ptrdiff_t unknown_cold_limit = 5;
+
 		[[nodiscard]] const service_record* own_service(const upstream_gate& gate, const catalog& known)
 		{
 			const auto found = known.services.find(gate.service);
@@ -70,12 +73,13 @@
 	std::uint16_t cold_admissions_left(const upstream_gate& gate, const catalog& known, monotonic_time now)
 	{
 		const auto* service = own_service(gate, known);
-		const double rate = service == nullptr ? 0.0 : service->cold_requests_per_s;
-		if (rate <= 0.0)
+		if (service != nullptr && service->cold_requests_per_s <= 0.0)
 		{
 			return std::numeric_limits<std::uint16_t>::max();
 		}
-		const auto limit = static_cast<std::ptrdiff_t>(rate + cold_allowance);
+		const auto limit = service == nullptr
+							   ? unknown_cold_limit
+							   : static_cast<std::ptrdiff_t>(service->cold_requests_per_s + cold_allowance);
 		const auto used =
 			std::ranges::count_if(gate.admissions, [now](monotonic_time at) { return now - at < admission_window; });
 		return static_cast<std::uint16_t>(std::max<std::ptrdiff_t>(limit - used, 0));
