Keep an open flow when a late copy of its opening packet comes back

Cause: the upstream gives back a copy of an opening packet whose flow it holds already; the agent took that for a refusal and forgot the flow, so a later search could find no holder and reset it. A packet that comes back from an upstream that is not the known holder is now passed on instead of dropped.

Tests fail without the change: keeps_it_when_a_late_copy_of_the_opening_packet_comes_back, passes_a_packet_that_came_back_late_to_the_known_holder.

--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -145,6 +145,11 @@
 			{
 				return decision;
 			}
+			if (packet.opens && found->second.stage != flow_stage::asked)
+			{
+				// A late copy of the opening packet of a flow that the upstream holds.
+				return decision;
+			}
 			if (packet.opens)
 			{
 				answer_askers(decision, found->second, id, message_kind::declined, intake::full, true);
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -172,10 +172,14 @@
 			const auto id = flow_of_caller(packet);
 			const auto found = state.flows.find(id);
 			const auto route = known.routes.find(id.route);
-			if (found == state.flows.end() || found->second.holder != agent || route == known.routes.end())
+			if (found == state.flows.end() || route == known.routes.end())
 			{
 				return {};
 			}
+			if (found->second.holder != agent)
+			{
+				return forward(message_kind::carry, {}, found->second.holder);
+			}
 			state.flows.erase(found);
 			auto decision = look_up(state, known, route->second, now);
 			std::erase(decision.agents, agent);
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -177,6 +177,18 @@
 			EXPECT_TRUE(decision.replies[0].with_packet);
 		}
 
+		// Guards against a forgotten open flow: a late copy of the opening packet comes back, since the flow is open
+		// already, and a later search would find no holder and reset the flow.
+		TEST_F(an_agent_with_an_open_flow, keeps_it_when_a_late_copy_of_the_opening_packet_comes_back)
+		{
+			open_flow();
+			packet(message_kind::open, opening(2));
+			auto back = opening(2);
+			back.returned = true;
+			EXPECT_TRUE(upstream(back).replies.empty());
+			EXPECT_EQ(answer_query(state, std::array{flow}).at(0).verdict, possession::held);
+		}
+
 		// Guards against callers that wait for an answer of an upstream that has ended.
 		TEST_F(an_agent_with_an_open_flow, resets_it_when_nothing_listens_at_the_upstream)
 		{
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -159,6 +159,16 @@
 			EXPECT_EQ(decision.agents.size(), 3U);
 		}
 
+		// Guards against a lost packet: the holder became known while the packet was at another upstream.
+		TEST_F(a_balancer_without_memory_of_a_flow, passes_a_packet_that_came_back_late_to_the_known_holder)
+		{
+			hear(message_kind::held, instance(2));
+			const auto it = data();
+			const auto decision = hear(message_kind::not_held, instance(1), &it);
+			EXPECT_EQ(decision.what, action::forward);
+			EXPECT_EQ(decision.agents, std::vector{instance(2)});
+		}
+
 		// Guards against searches by all balancers of a zone when the fabric moves flows between them.
 		TEST_F(a_balancer_without_memory_of_a_flow, learns_the_holders_of_its_zone_from_agents)
 		{
--- a/tests/steering_world.hpp
+++ b/tests/steering_world.hpp
@@ -37,8 +37,8 @@
 	{
 		const auto group = key.starts_with('u') ? record_group::upstreams : record_group::operator_orders;
 		const auto revision = known.revisions[key] + 1;
-		return apply_record(known, group, {.key = key, .revision = revision, .value = std::move(value)}, now,
-							store_was_away);
+		return apply_record(known, group, {.key = key, .revision = revision, .value = std::move(value), .encoded = {}},
+							now, store_was_away);
 	}
 
 	/// Returns a configuration with one route to the given services.
