Log requests and placements, serve metrics

An agent ties request ids to flows in its log, a balancer says why it chose an agent; lines that tell of harm to a caller keep a higher rate. One enum of reasons for both interfaces.

--- a/include/nutmegturn/log.hpp
+++ b/include/nutmegturn/log.hpp
@@ -57,9 +57,11 @@
 		static constexpr std::size_t max_names = 256;
 
 		/// Decides on an event.
+		/// \param per_second	Events a second that pass once the burst is spent.
 		/// \returns	The number of events of this name suppressed since the last one that passed, or nothing when
 		///				this one is suppressed, too.
-		[[nodiscard]] std::optional<std::uint64_t> admit(std::string_view name, monotonic_time now);
+		[[nodiscard]] std::optional<std::uint64_t> admit(std::string_view name, monotonic_time now,
+														 std::uint32_t per_second = 1);
 
 		/// Returns the number of suppressed events of all names.
 		[[nodiscard]] std::uint64_t suppressed() const noexcept
--- a/include/nutmegturn/reason.hpp
+++ b/include/nutmegturn/reason.hpp
@@ -47,6 +47,11 @@
 		stopping,
 		malformed,
 		conflict,
+		no_route,
+		route_unknown,
+		all_declined,
+		holder_gone,
+		not_for_callers,
 		count
 	};
 
@@ -64,7 +69,9 @@
 			"cancelled",     "token_missing",    "token_expired",
 			"token_foreign", "outcome_lost",     "retry_budget_spent",
 			"not_current",   "paused",           "idle",
-			"stopping",      "malformed",        "conflict"};
+			"stopping",      "malformed",        "conflict",
+			"no_route",      "route_unknown",    "all_declined",
+			"holder_gone",   "not_for_callers"};
 	}
 
 	/// Returns the name used in metrics, logs and the audit trail.
--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -2,6 +2,7 @@
 
 #include "nutmegturn/steering/upstream_gate.hpp"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -19,6 +20,7 @@
 	struct agent_flow
 	{
 		flow_stage stage = flow_stage::asked;
+		monotonic_time work_begun;          ///< When the request in progress came in.
 		bool at_work = false;               ///< Data went in and no data has come out since.
 		bool caller_finished = false;       ///< The caller has closed its side.
 		bool upstream_finished = false;     ///< The upstream has closed its side.
@@ -65,8 +67,9 @@
 	/// What to do with a packet.
 	struct agent_decision
 	{
-		bool deliver = false;   ///< To the upstream.
-		bool to_caller = false; ///< To the caller.
+		bool deliver = false;                                    ///< To the upstream.
+		bool to_caller = false;                                  ///< To the caller.
+		std::optional<monotonic_clock::duration> answered_after; ///< Set by the first data of an answer.
 		std::vector<agent_reply> replies;
 	};
 
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegturn/reason.hpp"
 #include "nutmegturn/steering/message.hpp"
 #include "nutmegturn/steering/upstream_choice.hpp"
 
@@ -17,24 +18,6 @@
 		monotonic_time used;
 	};
 
-	/// Why a packet was answered with a reset or dropped.
-	enum class steering_reason : std::uint8_t
-	{
-		none,
-		no_route,       ///< No route has this address.
-		route_unknown,  ///< No route has this address, but the configuration may be out of date.
-		no_upstream,    ///< No upstream of the service takes new flows.
-		all_declined,   ///< Every upstream that could take the flow declined it.
-		holder_gone,    ///< No upstream holds the flow any more.
-		search_pending, ///< A search for the flow's holder is under way.
-		malformed,
-		not_for_callers, ///< The packet was not sent by a caller.
-		table_full
-	};
-
-	/// Returns the name for logs and metrics.
-	[[nodiscard]] std::string_view to_string(steering_reason why) noexcept;
-
 	/// What to do with a packet.
 	struct steering_decision
 	{
@@ -52,7 +35,7 @@
 		service_key service{};
 		std::vector<ipv4> agents;
 		std::vector<ipv4> needed;
-		steering_reason why = steering_reason::none;
+		reason why = reason::none;
 	};
 
 	/// State of a balancer.
--- a/src/log.cpp
+++ b/src/log.cpp
@@ -122,7 +122,7 @@
 		return {out.GetString(), out.GetSize()};
 	}
 
-	std::optional<std::uint64_t> log_limiter::admit(std::string_view name, monotonic_time now)
+	std::optional<std::uint64_t> log_limiter::admit(std::string_view name, monotonic_time now, std::uint32_t per_second)
 	{
 		auto it = budgets_.find(name);
 		if (it == budgets_.end())
@@ -135,7 +135,8 @@
 		const auto seconds = std::chrono::floor<std::chrono::seconds>(now - state.refilled);
 		if (seconds.count() > 0)
 		{
-			state.left = static_cast<std::uint32_t>(std::min<std::int64_t>(burst, state.left + seconds.count()));
+			state.left = static_cast<std::uint32_t>(
+				std::min<std::int64_t>(std::max(burst, per_second), state.left + seconds.count() * per_second));
 			state.refilled += seconds;
 		}
 		if (state.left == 0)
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -39,6 +39,30 @@
 		/// Time in which balancers learn that this agent stops before its packets are lost.
 		constexpr auto stop_notice = 50ms;
 
+		[[nodiscard]] reason reason_of(steering::intake why) noexcept
+		{
+			switch (why)
+			{
+				case steering::intake::other_service:
+					return reason::wrong_upstream;
+				case steering::intake::draining:
+					return reason::upstream_draining;
+				case steering::intake::evacuated:
+					return reason::zone_out;
+				case steering::intake::cold:
+					return reason::upstream_cold;
+				case steering::intake::full:
+					return reason::upstream_shed;
+				case steering::intake::upstream_unreachable:
+					return reason::upstream_unreachable;
+				case steering::intake::stopping:
+					return reason::stopping;
+				case steering::intake::open:
+					break;
+			}
+			return reason::none;
+		}
+
 		class agent_node
 		{
 		public:
@@ -81,7 +105,7 @@
 				{
 					return "epoll_ctl failed";
 				}
-				return status_.listen(to_endpoint(settings.readiness));
+				return node_.listen(status_);
 			}
 
 			void run()
@@ -100,6 +124,11 @@
 				{
 					return {.status = node_.loaded() && !state_.gate.stopping ? 200 : 503, .body = {}};
 				}
+				if (path == "/metrics")
+				{
+					node_.metrics.set(gauge::flows_open, static_cast<std::int64_t>(state_.flows.size()));
+					return {.status = 200, .body = node_.metrics_text()};
+				}
 				if (path == orders_path)
 				{
 					return {.status = 200, .body = node_.orders.listing()};
@@ -221,8 +250,15 @@
 
 			void carry_out(const agent_decision& decision, const segment& it, std::span<const std::byte> bytes)
 			{
+				if (decision.answered_after)
+				{
+					node_.metrics.observe(distribution::upstream_seconds,
+										  std::chrono::duration<double>{*decision.answered_after}.count());
+				}
 				if (decision.deliver)
 				{
+					node_.metrics.add(counter::packets_received);
+					log_request(it, bytes);
 					to_upstream_->add(to_endpoint(node_.settings.upstream), bytes);
 				}
 				if (decision.to_caller)
@@ -241,8 +277,26 @@
 				}
 			}
 
+			/// Ties the id of a request to its flow. The id is read for the log alone.
+			void log_request(const segment& it, std::span<const std::byte> bytes)
+			{
+				const auto id = it.payload_size > 0 ? platform::find_request_id(bytes) : std::string_view{};
+				if (id.empty())
+				{
+					return;
+				}
+				const auto flow = flow_of_caller(it);
+				node_.metrics.add(counter::requests_received);
+				node_.log.write(log_level::info, "request_delivered", "a request went to the upstream",
+								{{"request", std::string{id}},
+								 {"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+								 {"at_work", std::to_string(state_.at_work)},
+								 {"version", std::to_string(node_.known.version)}});
+			}
+
 			void log_decline(const steering::agent_reply& reply)
 			{
+				node_.metrics.add(counter::flows_rejected, reason_of(reply.why));
 				node_.log.write(
 					log_level::info, "flow_declined", "an opening packet went back to its balancer",
 					{{"flow", fmt::format("{}>{}", to_string(reply.flow.caller), to_string(reply.flow.route))},
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -83,7 +83,7 @@
 				{
 					return "epoll_ctl failed";
 				}
-				return status_.listen(to_endpoint(settings.readiness));
+				return node_.listen(status_);
 			}
 
 			void run()
@@ -103,6 +103,11 @@
 					const bool ready = learned && !stopping_;
 					return {.status = ready ? 200 : 503, .body = {}};
 				}
+				if (path == "/metrics")
+				{
+					node_.metrics.set(gauge::flows_open, static_cast<std::int64_t>(state_.flows.size()));
+					return {.status = 200, .body = node_.metrics_text()};
+				}
 				if (path == orders_path)
 				{
 					return {.status = 200, .body = node_.orders.listing()};
@@ -118,12 +123,14 @@
 			{
 				last_packet_ = node_.loop.now();
 				const auto n = batch_.receive(callers_.get());
+				node_.metrics.add(counter::packets_received, reason::none, n);
 				for (std::size_t i = 0; i < n; ++i)
 				{
 					const auto bytes = batch_.payload(i);
 					const auto it = platform::decode_packet(bytes);
 					if (!it || node_.known.version == 0)
 					{
+						node_.metrics.add(counter::packets_dropped, it ? reason::not_current : reason::malformed);
 						continue;
 					}
 					const auto decision =
@@ -192,7 +199,7 @@
 						send_packet(agent, message_kind::search, step.packet);
 						break;
 					case search_step::action::give_up:
-						reset(step.flow, step.acknowledgement, steering::steering_reason::holder_gone);
+						reset(step.flow, step.acknowledgement, reason::holder_gone);
 						break;
 				}
 			}
@@ -203,6 +210,10 @@
 				{
 					case steering_decision::action::forward:
 						forward(decision, bytes);
+						if (decision.kind == message_kind::open)
+						{
+							log_placement(decision, it);
+						}
 						break;
 					case steering_decision::action::look_up:
 						look_up(decision, it, bytes);
@@ -211,8 +222,9 @@
 						reset(flow_of_caller(it), it.opens ? 0 : it.acknowledgement, decision.why);
 						break;
 					case steering_decision::action::drop:
-						if (decision.why != steering::steering_reason::none)
+						if (decision.why != reason::none)
 						{
+							node_.metrics.add(counter::packets_dropped, decision.why);
 							log_flow(log_level::warning, "packet_dropped", "a packet was dropped", flow_of_caller(it),
 									 to_string(decision.why));
 						}
@@ -277,14 +289,32 @@
 				to_peers_->commit(to_endpoint({.ip = agent, .port = node_.settings.peer_port}), size);
 			}
 
-			void reset(const steering::flow_id& flow, std::uint32_t sequence, steering::steering_reason why)
+			void reset(const steering::flow_id& flow, std::uint32_t sequence, reason why)
 			{
 				const auto bytes = platform::encode_reset(flow, sequence);
 				to_callers_->add(to_endpoint({.ip = flow.caller.ip, .port = node_.settings.caller_packets.port}),
 								 bytes);
+				node_.metrics.add(counter::flows_rejected, why);
 				log_flow(log_level::warning, "flow_reset", "a flow was reset towards its caller", flow, to_string(why));
 			}
 
+			void log_placement(const steering_decision& decision, const segment& it)
+			{
+				node_.metrics.add(counter::flows_admitted);
+				const auto agent = decision.agents.front();
+				const auto& load = state_.loads[agent];
+				const auto age =
+					std::chrono::duration_cast<std::chrono::milliseconds>(node_.loop.now() - load.reported);
+				const auto flow = flow_of_caller(it);
+				node_.log.write(log_level::info, "flow_placed", "an opening packet went to an agent",
+								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+								 {"copy", std::to_string(it.acknowledgement)},
+								 {"agent", to_string(agent)},
+								 {"at_work", std::to_string(load.report.at_work)},
+								 {"load_age_ms", std::to_string(age.count())},
+								 {"version", std::to_string(node_.known.version)}});
+			}
+
 			void log_flow(log_level level, std::string_view event, std::string text, const steering::flow_id& flow,
 						  std::string_view why)
 			{
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,10 @@
 #include "node/node.hpp"
 
+#include <fmt/format.h>
 #include <unistd.h>
 
+#include <array>
+
 namespace nutmegturn::node
 {
 	using steering::record_group;
@@ -72,6 +75,27 @@
 		loop.at(loop.now() + seed_interval, [this] { load_from_seeds(); });
 	}
 
+	std::string node::listen(status_server& server) const
+	{
+		const auto why = server.listen(to_endpoint({.ip = settings.instance, .port = metrics_port}));
+		if (!why.empty())
+		{
+			log.write(log_level::warning, "metrics_not_served", why);
+		}
+		return server.listen(to_endpoint(settings.readiness));
+	}
+
+	std::string node::metrics_text()
+	{
+		const auto age = loop.now() - orders.state().answered;
+		metrics.set(gauge::config_revision, static_cast<std::int64_t>(known.version));
+		metrics.set(gauge::config_age_milliseconds, std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+		metrics.set(gauge::view_current, configuration_current() ? 1 : 0);
+		metrics_snapshot snapshot{std::array<const metrics_shard*, 1>{&metrics}};
+		return fmt::format("{}nutmegturn_store_calls_total {}\nnutmegturn_log_lines_dropped_total {}\n",
+						   snapshot.to_prometheus(), orders.calls() + upstreams.calls(), log.dropped());
+	}
+
 	bool node::loaded() const noexcept
 	{
 		return orders.state().listed_once && upstreams.state().listed_once && known.version != 0;
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegturn/metrics.hpp"
 #include "nutmegturn/steering/node_settings.hpp"
 
 #include "node/status_server.hpp"
@@ -12,6 +13,9 @@
 	/// What both roles share: settings, log, loop, catalog and the readers of the metadata store.
 	struct node
 	{
+		/// Port on the instance's address at which metrics are served, besides the address of the readiness check.
+		static constexpr std::uint16_t metrics_port = 9'464;
+
 		/// Creates the parts; nothing is started.
 		node(const steering::node_settings& given, node_log& out);
 
@@ -32,6 +36,13 @@
 		/// while the store is down serves with what they know.
 		void load_from_seeds();
 
+		/// Makes the status server listen.
+		/// \returns	Empty, or why the readiness check cannot be served.
+		[[nodiscard]] std::string listen(status_server& server) const;
+
+		/// Returns the metrics in the text form of Prometheus.
+		[[nodiscard]] std::string metrics_text();
+
 		/// Returns whether everything was read once.
 		[[nodiscard]] bool loaded() const noexcept;
 
@@ -45,6 +56,7 @@
 		node_log& log;
 		event_loop loop;
 		steering::catalog known;
+		metrics_shard metrics;
 		store_reader orders;
 		store_reader upstreams;
 		std::unique_ptr<http_connection> relay;          ///< Connection to the process from which orders are read.
--- a/src/node/node_log.cpp
+++ b/src/node/node_log.cpp
@@ -7,6 +7,17 @@
 
 namespace nutmegturn::node
 {
+	namespace
+	{
+		/// Lines a second of one event. Decisions that hurt a caller are warnings and keep more of them.
+		[[nodiscard]] std::uint32_t rate_of(log_level level) noexcept
+		{
+			constexpr std::uint32_t usual = 5;
+			constexpr std::uint32_t harmful = 20;
+			return level >= log_level::warning ? harmful : usual;
+		}
+	}
+
 	node_log::node_log(std::string process) : process_{std::move(process)}
 	{
 		const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
@@ -19,7 +30,7 @@
 
 	void node_log::write(log_level level, std::string_view event, std::string text, fields values)
 	{
-		const auto suppressed = limiter_.admit(event, runtime::read_clock());
+		const auto suppressed = limiter_.admit(event, runtime::read_clock(), rate_of(level));
 		if (!suppressed)
 		{
 			return;
--- a/src/node/status_server.cpp
+++ b/src/node/status_server.cpp
@@ -38,15 +38,16 @@
 		{
 			return std::get<1>(made);
 		}
-		listener_ = std::move(std::get<0>(made));
-		return loop_.watch(listener_.get(), [this] { accept_connections(); }) ? "" : "epoll_ctl failed";
+		const int listener = std::get<0>(made).get();
+		listeners_.push_back(std::move(std::get<0>(made)));
+		return loop_.watch(listener, [this, listener] { accept_connections(listener); }) ? "" : "epoll_ctl failed";
 	}
 
-	void status_server::accept_connections()
+	void status_server::accept_connections(int listener)
 	{
 		while (true)
 		{
-			runtime::file_descriptor fd{::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)};
+			runtime::file_descriptor fd{::accept4(listener, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC)};
 			if (!fd)
 			{
 				return;
--- a/src/node/status_server.hpp
+++ b/src/node/status_server.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace nutmegturn::node
 {
@@ -31,7 +32,7 @@
 		/// \param answer	Gives the response for a path.
 		status_server(event_loop& loop, std::function<status_response(std::string_view path)> answer);
 
-		/// Starts to listen.
+		/// Starts to listen; may be called for several addresses.
 		/// \returns	Empty, or why it failed.
 		[[nodiscard]] std::string listen(const endpoint& local);
 
@@ -42,14 +43,14 @@
 			std::string received;
 		};
 
-		void accept_connections();
+		void accept_connections(int listener);
 		void read_requests(int fd);
 		[[nodiscard]] bool answer_requests(connection& it);
 		void drop(int fd);
 
 		event_loop& loop_;
 		std::function<status_response(std::string_view)> answer_;
-		runtime::file_descriptor listener_;
+		std::vector<runtime::file_descriptor> listeners_;
 		std::map<int, connection> connections_;
 	};
 }
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -68,6 +68,7 @@
 			{
 				flow.highest_sequence = end;
 				flow.tracked = true;
+				flow.work_begun = flow.at_work ? flow.work_begun : flow.used;
 				set_at_work(state, flow, true);
 			}
 		}
@@ -245,6 +246,10 @@
 			return decision;
 		}
 		flow->stage = packet.opens ? std::max(flow->stage, flow_stage::half_open) : flow_stage::open;
+		if (packet.payload_size > 0 && flow->at_work)
+		{
+			decision.answered_after = now - flow->work_begun;
+		}
 		if (packet.payload_size > 0 || packet.finishes)
 		{
 			set_at_work(state, *flow, false);
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -1,16 +1,11 @@
 #include "nutmegturn/steering/balancer_flows.hpp"
 
 #include <algorithm>
-#include <array>
 
 namespace nutmegturn::steering
 {
 	namespace
 	{
-		constexpr std::array<std::string_view, 9> reason_names{"none",        "no_route",        "route_unknown",
-															   "no_upstream", "all_declined",    "holder_gone",
-															   "malformed",   "not_for_callers", "table_full"};
-
 		/// A flow without packets for this long is forgotten. Longer than an idle timeout, since the flow's packets may
 		/// go through another balancer.
 		constexpr std::chrono::seconds longest_idle{60};
@@ -18,7 +13,7 @@
 		/// How many upstreams are tried with one opening packet.
 		constexpr std::size_t max_declined = 8;
 
-		[[nodiscard]] steering_decision give_up(steering_decision::action what, steering_reason why)
+		[[nodiscard]] steering_decision give_up(steering_decision::action what, reason why)
 		{
 			return {.what = what, .kind = {}, .service = {}, .agents = {}, .needed = {}, .why = why};
 		}
@@ -30,7 +25,7 @@
 					.service = service,
 					.agents = {agent},
 					.needed = {},
-					.why = steering_reason::none};
+					.why = reason::none};
 		}
 
 		void add_instance(std::vector<ipv4>& found, ipv4 instance)
@@ -91,7 +86,7 @@
 					: nullptr;
 			if (chosen == nullptr)
 			{
-				const auto why = flow.declined.empty() ? steering_reason::no_upstream : steering_reason::all_declined;
+				const auto why = flow.declined.empty() ? reason::no_upstream : reason::all_declined;
 				state.flows.erase(id);
 				return give_up(steering_decision::action::reset, why);
 			}
@@ -107,11 +102,11 @@
 			const auto id = flow_of_caller(it);
 			if (route.services.empty())
 			{
-				return give_up(steering_decision::action::reset, steering_reason::no_upstream);
+				return give_up(steering_decision::action::reset, reason::no_upstream);
 			}
 			if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
 			{
-				return give_up(steering_decision::action::reset, steering_reason::table_full);
+				return give_up(steering_decision::action::reset, reason::table_full);
 			}
 			auto& flow = state.flows[id];
 			flow.used = now;
@@ -125,7 +120,7 @@
 				flow.declined.push_back(flow.holder);
 			}
 			auto decision = place(state, known, route, id, flow, now);
-			if (decision.what == steering_decision::action::reset && decision.why == steering_reason::all_declined)
+			if (decision.what == steering_decision::action::reset && decision.why == reason::all_declined)
 			{
 				// All have been asked and none has refused: start again with the copy.
 				auto& again = state.flows[id];
@@ -155,7 +150,7 @@
 			const auto found = state.flows.find(id);
 			if (route == known.routes.end() || route->second.services.empty())
 			{
-				return give_up(steering_decision::action::reset, steering_reason::no_route);
+				return give_up(steering_decision::action::reset, reason::no_route);
 			}
 			if (found == state.flows.end() || found->second.confirmed || found->second.holder != agent)
 			{
@@ -188,26 +183,21 @@
 		}
 	}
 
-	std::string_view to_string(steering_reason why) noexcept
-	{
-		return reason_names[static_cast<std::size_t>(why)];
-	}
-
 	steering_decision steer_packet(balancer_state& state, const catalog& known, const segment& it, monotonic_time now,
 								   bool current)
 	{
 		if (it.returned || (it.opens && it.acknowledges))
 		{
-			return give_up(steering_decision::action::drop, steering_reason::not_for_callers);
+			return give_up(steering_decision::action::drop, reason::not_for_callers);
 		}
 		const auto route = known.routes.find(it.destination);
 		if (route == known.routes.end())
 		{
 			if (it.resets || !current)
 			{
-				return give_up(steering_decision::action::drop, steering_reason::route_unknown);
+				return give_up(steering_decision::action::drop, reason::route_unknown);
 			}
-			return give_up(steering_decision::action::reset, steering_reason::no_route);
+			return give_up(steering_decision::action::reset, reason::no_route);
 		}
 		if (it.opens)
 		{
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -66,6 +66,33 @@
 			EXPECT_FALSE(decode_packet(bytes));
 		}
 
+		// Guards against a log that ties a flow to the id of nothing, and against reads beyond the packet.
+		TEST(a_platform_packet, gives_the_request_id_only_when_the_whole_line_is_there)
+		{
+			const std::string_view head = "GET / HTTP/1.1\r\nNutmegturn-Request-Id: ab12\r\n\r\n";
+			auto packet = from_hex(opening_packet);
+			EXPECT_TRUE(find_request_id(packet).empty());
+			for (const char c : head)
+			{
+				packet.push_back(static_cast<std::byte>(c));
+			}
+			EXPECT_EQ(find_request_id(packet), "ab12");
+			packet.resize(packet_header_size + head.find("12\r"));
+			EXPECT_TRUE(find_request_id(packet).empty());
+		}
+
+		// Guards against a process that cannot read what another relays to it.
+		TEST(a_listing_for_another_process, is_read_like_one_of_the_store)
+		{
+			const auto text = R"({"items":[{"key":"op/evacuate/a","revision":7,"value":"e30="}],"as_of":9})";
+			const auto answer = decode_answer(200, text);
+			const auto relayed = decode_answer(200, encode_listing(std::array{answer.records.at(0).encoded}, 9));
+			ASSERT_EQ(relayed.how, store_answer::outcome::complete);
+			EXPECT_EQ(relayed.revision, 9U);
+			EXPECT_EQ(std::get<steering::zone_evacuation>(relayed.records.at(0).value).zone, "a");
+			EXPECT_EQ(relayed.records.at(0).revision, 7U);
+		}
+
 		[[nodiscard]] std::string base64(std::string_view text)
 		{
 			std::string encoded(sodium_base64_encoded_len(text.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -76,7 +76,7 @@
 			}
 			EXPECT_EQ(tried.size(), 3U);
 			EXPECT_EQ(decision.what, action::reset);
-			EXPECT_EQ(decision.why, steering_reason::all_declined);
+			EXPECT_EQ(decision.why, reason::all_declined);
 		}
 
 		// Guards against new work on upstreams that leave and in zones that are evacuated.
@@ -100,7 +100,7 @@
 			}
 			const auto decision = packet(opening());
 			EXPECT_EQ(decision.what, action::reset);
-			EXPECT_EQ(decision.why, steering_reason::no_upstream);
+			EXPECT_EQ(decision.why, reason::no_upstream);
 		}
 
 		// Guards against refusing a route that a newer configuration has.
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -27,6 +27,17 @@
 			EXPECT_EQ(known.routes.at(route_address).services.at(0).first, key_of_service("desk"));
 		}
 
+		// Guards against a relayed record or a repeated watch that brings back an older state.
+		TEST_F(a_catalog, ignores_records_that_are_not_newer_than_what_it_knows_of_the_key)
+		{
+			const store_record old{.key = "u1", .revision = 5, .value = entry(1, "desk", "a"), .encoded = {}};
+			const store_record gone{.key = "u1", .revision = 6, .value = removed_record{}, .encoded = {}};
+			apply_record(known, record_group::upstreams, old, start, false);
+			apply_record(known, record_group::upstreams, gone, start, false);
+			EXPECT_EQ(apply_record(known, record_group::upstreams, old, start, false), record_effect::none);
+			EXPECT_FALSE(accepts("u1"));
+		}
+
 		// Guards against use of an entry that another writer has spoiled.
 		TEST_F(a_catalog, does_not_use_an_entry_that_became_unreadable)
 		{
