Ask upstreams that were added meanwhile before a flow is given up

Cause: after a change in the store a balancer waits up to 500 ms for the next call.

Change: when all have denied a flow, the pause ends at once; 60 ms later upstreams that have become known are asked, and the flow is given up only when a watch has waited 40 ms without a change. Dropping the pause instead costs twice the store calls.

The test asks_upstreams_that_it_learns_of_before_it_gives_the_flow_up fails without the change.

--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -66,6 +66,10 @@
 	[[nodiscard]] steering_decision take_agent_message(balancer_state& state, const catalog& known, const message& it,
 													   const segment* packet, ipv4 agent, monotonic_time now);
 
+	/// Returns the instances whose answer is needed to call a flow gone; none when its route is gone.
+	[[nodiscard]] std::vector<ipv4> needed_answers(const balancer_state& state, const catalog& known, const flow_id& id,
+												   monotonic_time now);
+
 	/// Notes which agent's upstream holds a flow.
 	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now);
 
--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -3,6 +3,7 @@
 #include "nutmegturn/steering/message.hpp"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -16,6 +17,7 @@
 		std::vector<ipv4> asked;           ///< Instances that may hold the flow.
 		std::vector<ipv4> unanswered;      ///< Those of them whose answer is needed to call the flow gone.
 		monotonic_time begun;
+		std::optional<monotonic_time> denied; ///< When the last needed answer came and nobody held the flow.
 	};
 
 	/// Searches for the holders of flows that this balancer does not know.
@@ -38,6 +40,10 @@
 	/// A search without a result is begun anew by a packet that comes later than this.
 	inline constexpr milliseconds search_timeout{150};
 
+	/// A flow that all have denied is given up after this time, in which upstreams that were added meanwhile become
+	/// known.
+	inline constexpr milliseconds denial_check{60};
+
 	/// What follows from an answer.
 	struct search_step
 	{
@@ -69,7 +75,17 @@
 
 	/// Takes one answer.
 	/// \param complete	Whether the catalog names all upstreams, so that a flow without holder is gone.
-	[[nodiscard]] search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, bool complete);
+	[[nodiscard]] search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, monotonic_time now,
+										  bool complete);
+
+	/// Returns the flows that all have denied `denial_check` ago or earlier.
+	[[nodiscard]] std::vector<flow_id> denied_flows(const holder_search& search, monotonic_time now);
+
+	/// Decides about a flow that all have denied: asks upstreams that were not asked yet, or gives the flow up.
+	/// \param needed	Instances whose answer is needed by the present catalog.
+	/// \param current	Whether the catalog is known to be up to date since the denial.
+	[[nodiscard]] search_step confirm_denied(holder_search& search, const flow_id& id, const std::vector<ipv4>& needed,
+											 monotonic_time now, bool current);
 
 	/// Forgets searches that got no result.
 	void forget_searches(holder_search& search, monotonic_time now);
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -30,6 +30,9 @@
 		constexpr std::size_t batch_size = 64;
 		constexpr std::size_t datagram_size = 2'048;
 
+		/// A watch that has waited this long without a change shows that the catalog is up to date.
+		constexpr auto denial_quiet = 40ms;
+
 		/// Between checks of whether the catalog has been read.
 		constexpr auto load_check_interval = 20ms;
 
@@ -165,24 +168,59 @@
 				{
 					carry_out(decision, *packet, it.packet);
 				}
+				take_verdicts(it, agent);
+			}
+
+			void take_verdicts(const message& it, ipv4 agent)
+			{
+				const auto now = node_.loop.now();
+				const bool complete = node_.upstreams_complete();
 				if (it.kind == message_kind::answers)
 				{
 					for (const auto& answer : steering::decode_answers(it.packet))
 					{
-						carry_out(take_answer(search_, agent, answer, node_.upstreams_complete()), agent);
+						carry_out(take_answer(search_, agent, answer, now, complete), agent);
 					}
 				}
-				else if (it.kind == message_kind::held || it.kind == message_kind::not_held)
+				else if (it.kind == message_kind::held)
 				{
-					const auto verdict =
-						it.kind == message_kind::held ? steering::possession::held : steering::possession::not_held;
-					const auto step =
-						take_answer(search_, agent, {.flow = it.flow, .verdict = verdict}, node_.upstreams_complete());
-					if (step.what == search_step::action::give_up)
-					{
-						carry_out(step, agent);
-					}
+					// The upstream has got the packet already, by a trial or with the opening packet.
+					search_.pending.erase(it.flow);
+				}
+				else if (it.kind == message_kind::not_held)
+				{
+					const steering::flow_answer answer{.flow = it.flow, .verdict = steering::possession::not_held};
+					carry_out(take_answer(search_, agent, answer, now, complete), agent);
+				}
+				check_denials_soon();
+			}
+
+			/// Plans a look at flows that nobody holds. What the store holds back in a pause is read until then.
+			void check_denials_soon()
+			{
+				const bool any =
+					std::ranges::any_of(search_.pending, [](const auto& it) { return it.second.denied.has_value(); });
+				if (!any || denial_check_planned_)
+				{
+					return;
+				}
+				denial_check_planned_ = true;
+				node_.upstreams.refresh();
+				node_.loop.at(node_.loop.now() + steering::denial_check, [this] { check_denials(); });
+			}
+
+			void check_denials()
+			{
+				const auto now = node_.loop.now();
+				denial_check_planned_ = false;
+				const bool current = node_.upstreams_complete() && node_.upstreams.unchanged_for(denial_quiet);
+				for (const auto& id : denied_flows(search_, now))
+				{
+					const auto needed = steering::needed_answers(state_, node_.known, id, now);
+					carry_out(confirm_denied(search_, id, needed, now, current), ipv4{});
 				}
+				send_queries();
+				check_denials_soon();
 			}
 
 			void carry_out(const search_step& step, ipv4 agent)
@@ -402,6 +440,7 @@
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_peers_;
 			std::optional<monotonic_time> greeted_; ///< When the agents got the first greeting.
+			bool denial_check_planned_ = false;
 			bool stopping_ = false;
 			monotonic_time stop_asked_;
 			monotonic_time last_packet_;
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -31,11 +31,28 @@
 			call();
 			return;
 		}
-		loop_.at(follower_.due, [this] { call(); });
+		pause_ = loop_.at(follower_.due, [this] { call(); });
+	}
+
+	void store_reader::refresh()
+	{
+		if (pause_ != 0 && !follower_.away)
+		{
+			loop_.cancel(pause_);
+			call();
+		}
+	}
+
+	bool store_reader::unchanged_for(monotonic_clock::duration time) const noexcept
+	{
+		const bool watching = pause_ == 0 && follower_.next == store_follower::step::watch;
+		return watching && loop_.now() - called_ >= time;
 	}
 
 	void store_reader::call()
 	{
+		pause_ = 0;
+		called_ = loop_.now();
 		++calls_;
 		const bool watch = follower_.next == store_follower::step::watch;
 		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision, steering::watch_wait)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -37,6 +37,12 @@
 		/// Takes the group's records that another process sent; older ones change nothing.
 		void take_relayed(const http_outcome& outcome);
 
+		/// Ends a pause between calls, so that changes which wait are read at once.
+		void refresh();
+
+		/// Returns whether a watch has been waiting for at least `time`, so that nothing has changed in it.
+		[[nodiscard]] bool unchanged_for(monotonic_clock::duration time) const noexcept;
+
 		/// Returns how far the reader has come.
 		[[nodiscard]] const steering::store_follower& state() const noexcept
 		{
@@ -71,6 +77,8 @@
 		steering::store_follower follower_;
 		random_source random_;
 		std::map<std::string, std::string> encoded_; ///< The group's records as the store sent them.
+		std::uint64_t pause_ = 0;                    ///< Timer of the next call; 0 while a call is in progress.
+		monotonic_time called_;                      ///< Start of the last call.
 		std::uint64_t calls_ = 0;
 	};
 }
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -212,6 +212,13 @@
 		return forward(message_kind::carry, {}, flow->second.holder);
 	}
 
+	std::vector<ipv4> needed_answers(const balancer_state& state, const catalog& known, const flow_id& id,
+									 monotonic_time now)
+	{
+		const auto route = known.routes.find(id.route);
+		return route == known.routes.end() ? std::vector<ipv4>{} : look_up(state, known, route->second, now).needed;
+	}
+
 	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
 	{
 		if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -1,6 +1,7 @@
 #include "nutmegturn/steering/holder_search.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace nutmegturn::steering
@@ -29,7 +30,8 @@
 		{
 			return false;
 		}
-		const bool repeat = found == search.pending.end() || now - found->second.begun >= search_timeout;
+		const bool denied = found != search.pending.end() && found->second.denied.has_value();
+		const bool repeat = found == search.pending.end() || (!denied && now - found->second.begun >= search_timeout);
 		auto& it = search.pending[id];
 		it.packet.assign(packet.begin(), packet.end());
 		it.acknowledgement = acknowledgement;
@@ -40,6 +42,7 @@
 		it.asked = std::move(asked);
 		it.unanswered = std::move(needed);
 		it.begun = now;
+		it.denied.reset();
 		search.unsent.push_back(id);
 		return true;
 	}
@@ -62,7 +65,7 @@
 		return queries;
 	}
 
-	search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, bool complete)
+	search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, monotonic_time now, bool complete)
 	{
 		const auto found = search.pending.find(it.flow);
 		if (found == search.pending.end())
@@ -84,11 +87,43 @@
 		const bool awaited = std::erase(found->second.unanswered, agent) > 0;
 		if (awaited && found->second.unanswered.empty() && complete)
 		{
-			return end_search(search, it.flow, search_step::action::give_up);
+			found->second.denied = now;
 		}
 		return {};
 	}
 
+	std::vector<flow_id> denied_flows(const holder_search& search, monotonic_time now)
+	{
+		std::vector<flow_id> flows;
+		for (const auto& [id, it] : search.pending)
+		{
+			if (it.denied && now - *it.denied >= denial_check)
+			{
+				flows.push_back(id);
+			}
+		}
+		return flows;
+	}
+
+	search_step confirm_denied(holder_search& search, const flow_id& id, const std::vector<ipv4>& needed,
+							   monotonic_time now, bool current)
+	{
+		auto& it = search.pending.at(id);
+		std::vector<ipv4> unasked;
+		std::ranges::copy_if(needed, std::back_inserter(unasked),
+							 [&it](ipv4 instance) { return std::ranges::find(it.asked, instance) == it.asked.end(); });
+		if (!unasked.empty())
+		{
+			it.asked = unasked;
+			it.unanswered = std::move(unasked);
+			it.begun = now;
+			it.denied.reset();
+			search.unsent.push_back(id);
+			return {};
+		}
+		return current ? end_search(search, id, search_step::action::give_up) : search_step{};
+	}
+
 	void forget_searches(holder_search& search, monotonic_time now)
 	{
 		std::erase_if(search.pending, [now](const auto& it) { return now - it.second.begun > search_retention; });
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -198,9 +198,16 @@
 									{instance(1), instance(2)}, now);
 			}
 
+			search_step confirm(std::vector<ipv4> needed)
+			{
+				now += denial_check;
+				EXPECT_EQ(denied_flows(search, now), std::vector{flow});
+				return confirm_denied(search, flow, needed, now, true);
+			}
+
 			search_step answered(std::uint32_t number, possession verdict, bool complete = true)
 			{
-				return take_answer(search, instance(number), {.flow = flow, .verdict = verdict}, complete);
+				return take_answer(search, instance(number), {.flow = flow, .verdict = verdict}, now, complete);
 			}
 		};
 
@@ -236,7 +243,9 @@
 			EXPECT_EQ(answered(1, possession::not_held).what, step::none);
 			EXPECT_EQ(answered(1, possession::not_held).what, step::none);
 			EXPECT_EQ(answered(3, possession::not_held).what, step::none);
-			const auto gone = answered(2, possession::not_held);
+			EXPECT_TRUE(denied_flows(search, now + denial_check).empty());
+			EXPECT_EQ(answered(2, possession::not_held).what, step::none);
+			const auto gone = confirm({instance(1), instance(2)});
 			EXPECT_EQ(gone.what, step::give_up);
 			EXPECT_EQ(gone.acknowledgement, 77U);
 		}
@@ -248,7 +257,25 @@
 			answered(1, possession::not_held);
 			EXPECT_EQ(answered(2, possession::unsure).what, step::try_out);
 			EXPECT_TRUE(search.pending.contains(flow));
-			EXPECT_EQ(answered(2, possession::not_held).what, step::give_up);
+			answered(2, possession::not_held);
+			EXPECT_EQ(confirm({instance(1), instance(2)}).what, step::give_up);
+		}
+
+		// Guards against a reset of an open flow at an upstream of which this balancer has not heard yet: the fabric
+		// moved the flow 50 ms after it was opened, while the balancer let changes of the store wait.
+		TEST_F(a_search_for_a_holder, asks_upstreams_that_it_learns_of_before_it_gives_the_flow_up)
+		{
+			begin();
+			answered(1, possession::not_held);
+			answered(2, possession::not_held);
+			now += denial_check;
+			EXPECT_EQ(confirm_denied(search, flow, {instance(1), instance(2)}, now, false).what, step::none)
+				<< "the catalog is not known to be up to date";
+			EXPECT_EQ(take_queries(search).size(), 3U);
+			EXPECT_EQ(confirm({instance(1), instance(2), instance(4)}).what, step::none);
+			EXPECT_EQ(take_queries(search).size(), 1U);
+			EXPECT_TRUE(denied_flows(search, now + denial_check).empty());
+			EXPECT_EQ(answered(4, possession::held).what, step::deliver);
 		}
 
 		// Guards against a reset while the holder's entry may be missing because the store was out of reach.
@@ -256,7 +283,8 @@
 		{
 			begin();
 			answered(1, possession::not_held, false);
-			EXPECT_EQ(answered(2, possession::not_held, false).what, step::none);
+			answered(2, possession::not_held, false);
+			EXPECT_TRUE(denied_flows(search, now + denial_check).empty());
 		}
 	}
 }
