--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -30,9 +30,6 @@
 		constexpr std::size_t batch_size = 64;
 		constexpr std::size_t datagram_size = 2'048;
 
-		/// A watch that has waited this long without a change shows that the catalog is up to date.
-		constexpr auto denial_quiet = 40ms;
-
 		/// Between checks of whether the catalog has been read.
 		constexpr auto load_check_interval = 20ms;
 
@@ -213,9 +210,10 @@
 			{
 				const auto now = node_.loop.now();
 				denial_check_planned_ = false;
-				const bool current = node_.upstreams_complete() && node_.upstreams.unchanged_for(denial_quiet);
 				for (const auto& id : denied_flows(search_, now))
 				{
+					const auto denied = *search_.pending.at(id).denied;
+					const bool current = node_.upstreams_complete() && node_.upstreams.knows_all_since(denied);
 					const auto needed = steering::needed_answers(state_, node_.known, id, now);
 					carry_out(confirm_denied(search_, id, needed, now, current), ipv4{});
 				}
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -6,6 +6,12 @@
 {
 	using steering::store_follower;
 
+	namespace
+	{
+		/// A watch that has waited this long has nothing to report: several times the store's usual answer time.
+		constexpr std::chrono::milliseconds watch_quiet{40};
+	}
+
 	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& known, const endpoint& store,
 							   steering::record_group group, std::uint64_t seed)
 		: loop_{loop}, log_{log}, known_{known}, group_{group}, connection_{loop, store}, random_{seed}
@@ -43,10 +49,11 @@
 		}
 	}
 
-	bool store_reader::unchanged_for(monotonic_clock::duration time) const noexcept
+	bool store_reader::knows_all_since(monotonic_time time) const noexcept
 	{
 		const bool watching = pause_ == 0 && follower_.next == store_follower::step::watch;
-		return watching && loop_.now() - called_ >= time;
+		const bool unchanged = watching && loop_.now() - std::max(called_, time) >= watch_quiet;
+		return unchanged || answered_call_ >= time;
 	}
 
 	void store_reader::call()
@@ -72,6 +79,7 @@
 		switch (answer.how)
 		{
 			case platform::store_answer::outcome::complete:
+				answered_call_ = called_;
 				if (follower_.away)
 				{
 					log_.write(log_level::info, "store_regained", "the metadata store answers again");
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -40,8 +40,9 @@
 		/// Ends a pause between calls, so that changes which wait are read at once.
 		void refresh();
 
-		/// Returns whether a watch has been waiting for at least `time`, so that nothing has changed in it.
-		[[nodiscard]] bool unchanged_for(monotonic_clock::duration time) const noexcept;
+		/// Returns whether every change that the store had at `time` is known: a call that began later was answered, or
+		/// a watch has been waiting for `watch_quiet` since.
+		[[nodiscard]] bool knows_all_since(monotonic_time time) const noexcept;
 
 		/// Returns how far the reader has come.
 		[[nodiscard]] const steering::store_follower& state() const noexcept
@@ -79,6 +80,7 @@
 		std::map<std::string, std::string> encoded_; ///< The group's records as the store sent them.
 		std::uint64_t pause_ = 0;                    ///< Timer of the next call; 0 while a call is in progress.
 		monotonic_time called_;                      ///< Start of the last call.
+		monotonic_time answered_call_;               ///< Start of the last call that was answered.
 		std::uint64_t calls_ = 0;
 	};
 }
