Load from a balancer that an agent names when the store is out of reach

A flow that all have denied waited 60 ms although a watch was open all the while.

Change: each message of an agent names another balancer; one that starts without the store reads the upstreams there and the orders from whoever knows newer ones.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -117,6 +117,10 @@
 	/// nearly all flows of its zone to other balancers. Those know the holder already and need no search.
 	[[nodiscard]] std::vector<holdings_notice> collect_new_holdings(agent_state& state);
 
+	/// Returns a balancer that was heard of lately and is not `receiver`, or zero. A balancer that starts while the
+	/// store is down reads what it needs from there.
+	[[nodiscard]] ipv4 other_balancer(const agent_state& state, ipv4 receiver);
+
 	/// Returns the load to report now.
 	[[nodiscard]] load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now);
 
--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -40,10 +40,6 @@
 	/// A search without a result is begun anew by a packet that comes later than this.
 	inline constexpr milliseconds search_timeout{150};
 
-	/// A flow that all have denied is given up after this time, in which upstreams that were added meanwhile become
-	/// known.
-	inline constexpr milliseconds denial_check{60};
-
 	/// What follows from an answer.
 	struct search_step
 	{
@@ -78,8 +74,8 @@
 	[[nodiscard]] search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, monotonic_time now,
 										  bool complete);
 
-	/// Returns the flows that all have denied `denial_check` ago or earlier.
-	[[nodiscard]] std::vector<flow_id> denied_flows(const holder_search& search, monotonic_time now);
+	/// Returns the flows that all have denied.
+	[[nodiscard]] std::vector<flow_id> denied_flows(const holder_search& search);
 
 	/// Decides about a flow that all have denied: asks upstreams that were not asked yet, or gives the flow up.
 	/// \param needed	Instances whose answer is needed by the present catalog.
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -62,6 +62,7 @@
 		std::uint64_t orders_revision = 0; ///< Newest order of the operator that the sender knows.
 		flow_id flow;                      ///< held, not_held.
 		load_report load;                  ///< From agents.
+		ipv4 other_balancer{};             ///< From agents: a balancer that is not the receiver, or zero.
 		std::uint32_t zone = 0;            ///< greeting: key of the balancer's availability zone.
 		bool fresh = false;                ///< greeting: the balancer has just started and knows no flows.
 
--- a/include/nutmegturn/steering/node_settings.hpp
+++ b/include/nutmegturn/steering/node_settings.hpp
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <string>
-#include <vector>
 
 namespace nutmegturn::steering
 {
@@ -18,7 +17,6 @@
 		ipv4_endpoint caller_packets; ///< Where packets of callers arrive; the port is also that of callers.
 		ipv4_endpoint readiness;      ///< Where the readiness check and the metrics are served.
 		ipv4_endpoint store;          ///< Metadata store.
-		std::vector<ipv4> seeds;      ///< Instances of some balancers; they may be stale or down.
 		std::uint16_t peer_port = 0;  ///< UDP port of messages between processes, equal on all instances.
 		milliseconds stop_grace{0};   ///< Time between the stop signal and the kill.
 		bool first_start = false;     ///< The whole deployment starts for the first time.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -147,7 +147,7 @@
 					{
 						continue;
 					}
-					node_.hear_of_orders(from->ip, it->orders_revision);
+					node_.hear_of_orders(from->ip, it->orders_revision, from->ip);
 					if (it->kind == message_kind::greeting)
 					{
 						greet(*it, from->ip);
@@ -319,6 +319,7 @@
 				it.orders_revision = node_.known.orders_revision;
 				it.flow = flow;
 				it.load = load;
+				it.other_balancer = other_balancer(state_, balancer);
 				it.packet = packet;
 				const auto room = to_peers_->reserve(steering::message_head_size + packet.size());
 				const auto size = encode_message(it, room);
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -30,6 +30,9 @@
 		constexpr std::size_t batch_size = 64;
 		constexpr std::size_t datagram_size = 2'048;
 
+		/// Time in which the store answers a call that reads what was held back.
+		constexpr auto denial_check_delay = 25ms;
+
 		/// Between checks of whether the catalog has been read.
 		constexpr auto load_check_interval = 20ms;
 
@@ -148,7 +151,7 @@
 					const auto from = to_ipv4(batch_.source(i));
 					if (it && from)
 					{
-						node_.hear_of_orders(from->ip, it->orders_revision);
+						node_.hear_of_orders(from->ip, it->orders_revision, it->other_balancer);
 						take_message(*it, from->ip);
 					}
 				}
@@ -192,25 +195,34 @@
 				check_denials_soon();
 			}
 
-			/// Plans a look at flows that nobody holds. What the store holds back in a pause is read until then.
+			/// Gives up flows that nobody holds, at once if the catalog is up to date; otherwise what the store holds
+			/// back in a pause is read first.
 			void check_denials_soon()
 			{
-				const bool any =
-					std::ranges::any_of(search_.pending, [](const auto& it) { return it.second.denied.has_value(); });
-				if (!any || denial_check_planned_)
+				if (denial_check_planned_ || denied_flows(search_).empty())
 				{
 					return;
 				}
+				if (node_.upstreams.knows_all_since(node_.loop.now()))
+				{
+					check_denials();
+					return;
+				}
+				plan_denial_check();
+			}
+
+			void plan_denial_check()
+			{
 				denial_check_planned_ = true;
 				node_.upstreams.refresh();
-				node_.loop.at(node_.loop.now() + steering::denial_check, [this] { check_denials(); });
+				node_.loop.at(node_.loop.now() + denial_check_delay, [this] { check_denials(); });
 			}
 
 			void check_denials()
 			{
 				const auto now = node_.loop.now();
 				denial_check_planned_ = false;
-				for (const auto& id : denied_flows(search_, now))
+				for (const auto& id : denied_flows(search_))
 				{
 					const auto denied = *search_.pending.at(id).denied;
 					const bool current = node_.upstreams_complete() && node_.upstreams.knows_all_since(denied);
@@ -218,7 +230,10 @@
 					carry_out(confirm_denied(search_, id, needed, now, current), ipv4{});
 				}
 				send_queries();
-				check_denials_soon();
+				if (!denied_flows(search_).empty())
+				{
+					plan_denial_check();
+				}
 			}
 
 			void carry_out(const search_step& step, ipv4 agent)
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,9 +16,6 @@
 		constexpr std::chrono::milliseconds relay_interval{500};
 
 		constexpr std::chrono::milliseconds relay_timeout{400};
-
-		/// Between attempts to load everything from a seed.
-		constexpr std::chrono::milliseconds seed_interval{200};
 	}
 
 	node::node(const steering::node_settings& given, node_log& out)
@@ -38,41 +35,37 @@
 	{
 		orders.start();
 		upstreams.start();
-		loop.at(loop.now() + seed_interval, [this] { load_from_seeds(); });
 	}
 
-	void node::hear_of_orders(steering::ipv4 instance, std::uint64_t revision)
+	void node::hear_of_orders(steering::ipv4 instance, std::uint64_t revision, steering::ipv4 balancer)
 	{
 		const auto now = loop.now();
-		if (!orders.state().away || revision <= known.orders_revision || now - relay_asked < relay_interval)
+		if (now - relay_asked < relay_interval)
 		{
 			return;
 		}
-		relay_asked = now;
-		// Addresses of the status servers differ in the instance only.
-		relay = std::make_unique<http_connection>(loop, to_endpoint({.ip = instance, .port = settings.readiness.port}));
-		relay->get(std::string{orders_path}, relay_timeout,
-				   [this](const http_outcome& outcome) { orders.take_relayed(outcome); });
-	}
-
-	void node::load_from_seeds()
-	{
-		if (loaded() || settings.seeds.empty())
+		const bool orders_wanted = orders.state().away && revision > known.orders_revision;
+		const bool upstreams_wanted =
+			upstreams.state().away && !upstreams.state().listed_once && balancer != steering::ipv4{};
+		if (orders_wanted)
 		{
-			return;
+			read_from(instance, orders_relay, orders_path, orders);
 		}
-		const auto seed = settings.seeds[next_seed++ % settings.seeds.size()];
-		if (seed != settings.instance && (orders.state().away || upstreams.state().away))
+		if (upstreams_wanted)
 		{
-			const auto server = to_endpoint({.ip = seed, .port = settings.readiness.port});
-			seed_orders = std::make_unique<http_connection>(loop, server);
-			seed_orders->get(std::string{orders_path}, relay_timeout,
-							 [this](const http_outcome& outcome) { orders.take_relayed(outcome); });
-			seed_upstreams = std::make_unique<http_connection>(loop, server);
-			seed_upstreams->get(std::string{upstreams_path}, relay_timeout,
-								[this](const http_outcome& outcome) { upstreams.take_relayed(outcome); });
+			read_from(balancer, upstreams_relay, upstreams_path, upstreams);
 		}
-		loop.at(loop.now() + seed_interval, [this] { load_from_seeds(); });
+	}
+
+	void node::read_from(steering::ipv4 instance, std::unique_ptr<http_connection>& connection, std::string_view path,
+						 store_reader& reader)
+	{
+		relay_asked = loop.now();
+		// Addresses of the status servers differ in the instance only.
+		connection =
+			std::make_unique<http_connection>(loop, to_endpoint({.ip = instance, .port = settings.readiness.port}));
+		connection->get(std::string{path}, relay_timeout,
+						[&reader](const http_outcome& outcome) { reader.take_relayed(outcome); });
 	}
 
 	std::string node::listen(status_server& server) const
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -26,15 +26,12 @@
 		void start();
 
 		/// Hears which orders of the operator a process knows. While the store is out of reach, newer ones are read
-		/// from it.
+		/// from it, and the entries of the upstreams if none have been read yet.
 		///
-		/// Load pattern: the store turns some instances away for seconds while the operator changes routes; without
-		/// this they place flows by an old configuration, which agents decline.
-		void hear_of_orders(steering::ipv4 instance, std::uint64_t revision);
-
-		/// Reads everything from other balancers as long as nothing could be read from the store. A process that starts
-		/// while the store is down serves with what they know.
-		void load_from_seeds();
+		/// Load pattern: the store turns some instances away for seconds while the operator changes routes or processes
+		/// restart; without this they place flows by an old configuration, which agents decline, or serve nobody.
+		/// \param balancer	A balancer that knows all entries, or zero.
+		void hear_of_orders(steering::ipv4 instance, std::uint64_t revision, steering::ipv4 balancer);
 
 		/// Makes the status server listen.
 		/// \returns	Empty, or why the readiness check cannot be served.
@@ -59,11 +56,13 @@
 		metrics_shard metrics;
 		store_reader orders;
 		store_reader upstreams;
-		std::unique_ptr<http_connection> relay;          ///< Connection to the process from which orders are read.
-		std::unique_ptr<http_connection> seed_orders;    ///< Connection to a seed.
-		std::unique_ptr<http_connection> seed_upstreams; ///< Connection to a seed.
-		std::size_t next_seed = 0;
+		std::unique_ptr<http_connection> orders_relay;    ///< Connection to another process.
+		std::unique_ptr<http_connection> upstreams_relay; ///< Connection to another process.
 		monotonic_time relay_asked;
+
+	private:
+		void read_from(steering::ipv4 instance, std::unique_ptr<http_connection>& connection, std::string_view path,
+					   store_reader& reader);
 	};
 
 	/// Path at which a process serves the operator's orders to others.
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -52,7 +52,7 @@
 	bool store_reader::knows_all_since(monotonic_time time) const noexcept
 	{
 		const bool watching = pause_ == 0 && follower_.next == store_follower::step::watch;
-		const bool unchanged = watching && loop_.now() - std::max(called_, time) >= watch_quiet;
+		const bool unchanged = watching && loop_.now() - called_ >= watch_quiet;
 		return unchanged || answered_call_ >= time;
 	}
 
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -317,6 +317,21 @@
 		return notices;
 	}
 
+	ipv4 other_balancer(const agent_state& state, ipv4 receiver)
+	{
+		ipv4 latest{};
+		monotonic_time heard{};
+		for (const auto& [balancer, it] : state.balancers)
+		{
+			if (balancer != receiver && it.heard >= heard)
+			{
+				latest = balancer;
+				heard = it.heard;
+			}
+		}
+		return latest;
+	}
+
 	load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now)
 	{
 		constexpr std::size_t most = std::numeric_limits<std::uint16_t>::max();
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -92,12 +92,12 @@
 		return {};
 	}
 
-	std::vector<flow_id> denied_flows(const holder_search& search, monotonic_time now)
+	std::vector<flow_id> denied_flows(const holder_search& search)
 	{
 		std::vector<flow_id> flows;
 		for (const auto& [id, it] : search.pending)
 		{
-			if (it.denied && now - *it.denied >= denial_check)
+			if (it.denied)
 			{
 				flows.push_back(id);
 			}
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -50,7 +50,7 @@
 			}
 		};
 
-		constexpr std::size_t load_size = 7;
+		constexpr std::size_t load_size = 11; ///< With the other balancer.
 
 		[[nodiscard]] bool comes_from_agent(message_kind kind) noexcept
 		{
@@ -165,6 +165,7 @@
 			to.put(it.load.at_work);
 			to.put(it.load.open_flows);
 			to.put(it.load.cold_left);
+			to.put(static_cast<std::uint32_t>(it.other_balancer));
 		}
 		if (names_flow(it.kind))
 		{
@@ -216,6 +217,7 @@
 			it.load.at_work = in.take<std::uint16_t>();
 			it.load.open_flows = in.take<std::uint16_t>();
 			it.load.cold_left = in.take<std::uint16_t>();
+			it.other_balancer = ipv4{in.take<std::uint32_t>()};
 		}
 		if (names_flow(it.kind))
 		{
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -230,6 +230,16 @@
 			EXPECT_EQ(answer_query(state, std::array{other}).at(0).verdict, possession::not_held);
 		}
 
+		// Guards against a balancer that starts while the store is down and finds nobody to learn from.
+		TEST_F(an_agent_with_an_open_flow, names_another_balancer_to_each)
+		{
+			EXPECT_EQ(other_balancer(state, balancer), ipv4{});
+			EXPECT_TRUE(take_greeting(state, message{}, balancer, now).flows.empty());
+			EXPECT_EQ(other_balancer(state, balancer), ipv4{});
+			EXPECT_TRUE(take_greeting(state, message{}, ipv4{0x0a010902}, now).flows.empty());
+			EXPECT_EQ(other_balancer(state, balancer), ipv4{0x0a010902});
+		}
+
 		// Guards against searches that never end after a power loss, since no agent would claim to know its flows.
 		TEST_F(an_agent_with_an_open_flow, knows_all_flows_when_its_upstream_is_not_older)
 		{
