Give every entry that goes missing two seconds to return

Change: an entry that goes missing is used for 2 s more, whatever the connection saw, unless the upstream was draining or the entry is unreadable. Until now this held only after a failed call, and for 2.2 s; 2 s keeps it below the 3 s bound with the pause between calls.

--- a/apps/nutmegturn-node/main.cpp
+++ b/apps/nutmegturn-node/main.cpp
@@ -39,7 +39,7 @@
 		return std::get<1>(given);
 	}
 	const auto& line = std::get<0>(given);
-	const char* from_environment = std::getenv(platform::settings_variable); // NOLINT(concurrency-mt-unsafe)
+	const char* from_environment = std::getenv(platform::settings_variable);
 	const auto path = line.value("settings", from_environment == nullptr ? "" : from_environment);
 	const bool role_known =
 		line.operands.size() == 1 && (line.operands[0] == "balancer" || line.operands[0] == "agent");
--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -67,8 +67,9 @@
 	/// How long an upstream without entry is kept as a possible holder of flows.
 	inline constexpr std::chrono::seconds former_upstream_retention{60};
 
-	/// How long an entry that went missing while the store was away may take to come back.
-	inline constexpr milliseconds lapse_grace{2'200};
+	/// How long an entry that went missing may take to come back: entries lapse while the store is down, and a watch
+	/// that waits all the while does not notice. Below the time in which a gone upstream must get no more new flows.
+	inline constexpr milliseconds lapse_grace{2'000};
 
 	/// What a record changed.
 	enum class record_effect : std::uint8_t
@@ -89,15 +90,12 @@
 	/// Takes over one record. A record that is not newer than what is known of its key changes nothing, so records may
 	/// come from several sources in any order.
 	/// \param group	Group of the record's key.
-	/// \param store_was_away	Whether the store was out of reach shortly before, so that missing entries may return.
 	/// \returns				What it changed.
-	record_effect apply_record(catalog& known, record_group group, const store_record& it, monotonic_time now,
-							   bool store_was_away);
+	record_effect apply_record(catalog& known, record_group group, const store_record& it, monotonic_time now);
 
 	/// Ends a complete listing of a group: what the catalog holds of it but the listing lacked was removed.
 	/// \param listed	All keys of the listing.
-	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed, monotonic_time now,
-						bool store_was_away);
+	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed, monotonic_time now);
 
 	/// Forgets upstreams that have been missing for longer than `former_upstream_retention`.
 	void forget_former(catalog& known, monotonic_time now);
--- a/include/nutmegturn/steering/ipv4.hpp
+++ b/include/nutmegturn/steering/ipv4.hpp
@@ -21,6 +21,8 @@
 		std::uint16_t port = 0;
 
 		/// Compares the address, then the port.
+		// clang-tidy 14 takes the comparison with 0 in the defaulted operator for a null pointer.
+		// NOLINTNEXTLINE(modernize-use-nullptr)
 		[[nodiscard]] friend constexpr auto operator<=>(const ipv4_endpoint&, const ipv4_endpoint&) noexcept = default;
 	};
 
--- a/src/node/http_call.cpp
+++ b/src/node/http_call.cpp
@@ -168,7 +168,7 @@
 		}
 	}
 
-	void http_connection::finish(http_outcome outcome, bool keep)
+	void http_connection::finish(const http_outcome& outcome, bool keep)
 	{
 		const auto done = std::exchange(done_, nullptr);
 		if (keep)
--- a/src/node/http_call.hpp
+++ b/src/node/http_call.hpp
@@ -56,7 +56,7 @@
 		void send_request();
 		void read_response();
 		void parse_response();
-		void finish(http_outcome outcome, bool keep);
+		void finish(const http_outcome& outcome, bool keep);
 
 		event_loop& loop_;
 		endpoint server_;
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -119,7 +119,6 @@
 
 	void store_reader::take_listing(const platform::store_answer& answer)
 	{
-		const bool settling = is_settling(follower_, loop_.now());
 		std::string last_key;
 		for (const auto& it : answer.records)
 		{
@@ -129,7 +128,7 @@
 		}
 		if (note_listing(follower_, answer.revision, last_key, answer.more, loop_.now()))
 		{
-			steering::finish_listing(known_, group_, follower_.listed, loop_.now(), settling);
+			steering::finish_listing(known_, group_, follower_.listed, loop_.now());
 			follower_.listed.clear();
 		}
 	}
@@ -145,7 +144,7 @@
 
 	void store_reader::apply(const steering::store_record& it)
 	{
-		const auto effect = apply_record(known_, group_, it, loop_.now(), is_settling(follower_, loop_.now()));
+		const auto effect = apply_record(known_, group_, it, loop_.now());
 		if (effect == steering::record_effect::none)
 		{
 			return;
@@ -201,7 +200,7 @@
 			apply(it);
 			listed.insert(it.key);
 		}
-		finish_listing(known_, group_, listed, loop_.now(), false);
+		finish_listing(known_, group_, listed, loop_.now());
 		std::erase_if(encoded_, [&listed](const auto& it) { return !listed.contains(it.first); });
 		if (orders)
 		{
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -24,7 +24,7 @@
 			}
 		}
 
-		record_effect remove_record(catalog& known, const std::string& key, monotonic_time now, bool store_was_away)
+		record_effect remove_record(catalog& known, const std::string& key, monotonic_time now)
 		{
 			if (const auto it = known.upstreams.find(key); it != known.upstreams.end())
 			{
@@ -34,7 +34,7 @@
 				}
 				it->second.listed = false;
 				it->second.removed = now;
-				it->second.accepts_until_anyway = store_was_away ? now + lapse_grace : now;
+				it->second.accepts_until_anyway = now + lapse_grace;
 				return record_effect::upstream_removed;
 			}
 			const auto zone = std::ranges::find(known.evacuated, key, [](const auto& it) { return it.second; });
@@ -129,8 +129,7 @@
 		return effect_names[static_cast<std::size_t>(effect)];
 	}
 
-	record_effect apply_record(catalog& known, record_group group, const store_record& it, monotonic_time now,
-							   bool store_was_away)
+	record_effect apply_record(catalog& known, record_group group, const store_record& it, monotonic_time now)
 	{
 		auto& newest = known.revisions[it.key];
 		if (it.revision <= newest)
@@ -144,7 +143,7 @@
 		}
 		if (std::holds_alternative<removed_record>(it.value))
 		{
-			return remove_record(known, it.key, now, store_was_away);
+			return remove_record(known, it.key, now);
 		}
 		if (const auto* entry = std::get_if<upstream_entry>(&it.value))
 		{
@@ -160,13 +159,16 @@
 			return added ? record_effect::zone_evacuated : record_effect::none;
 		}
 		// An upstream whose entry became unreadable is not used for new flows.
-		remove_record(known, it.key, now, false);
+		remove_record(known, it.key, now);
+		if (const auto spoiled = known.upstreams.find(it.key); spoiled != known.upstreams.end())
+		{
+			spoiled->second.accepts_until_anyway = now;
+		}
 		++known.unreadable;
 		return record_effect::unreadable;
 	}
 
-	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed, monotonic_time now,
-						bool store_was_away)
+	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed, monotonic_time now)
 	{
 		std::vector<std::string> gone;
 		if (group == record_group::upstreams)
@@ -187,7 +189,7 @@
 		{
 			if (!listed.contains(key))
 			{
-				remove_record(known, key, now, store_was_away);
+				remove_record(known, key, now);
 			}
 		}
 	}
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -98,6 +98,7 @@
 			{
 				put(known, key, removed_record{});
 			}
+			now += lapse_grace;
 			const auto decision = packet(opening());
 			EXPECT_EQ(decision.what, action::reset);
 			EXPECT_EQ(decision.why, reason::no_upstream);
