Wait for an upstream without entry whose agent is alive before a flow is given up

Cause: found by reading: when entries lapse in an outage, a search needed no answer of upstreams without entry, so a flow at one of them could be reset although it serves.

Test: waits_for_an_upstream_without_entry_whose_agent_is_alive fails without the change.

--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -54,8 +54,9 @@
 	///
 	/// Load pattern: packets of one flow may arrive at any balancer, at any time, after any restart. The holder of a
 	/// flow that this process does not know is looked up at the agents; only the holder keeps the packet, so nothing
-	/// needs to be remembered for correctness. \param current	Whether the configuration is known to be up to date, so
-	/// that an unknown route can be refused.
+	/// needs to be remembered for correctness.
+	///
+	/// \param current	Whether the configuration is known to be up to date, so that an unknown route can be refused.
 	[[nodiscard]] steering_decision steer_packet(balancer_state& state, const catalog& known, const segment& it,
 												 monotonic_time now, bool current);
 
--- a/include/nutmegturn/steering/upstream_choice.hpp
+++ b/include/nutmegturn/steering/upstream_choice.hpp
@@ -34,9 +34,11 @@
 	///
 	/// Load pattern: many long flows with pauses and short flows with one request each, on upstreams of unequal speed.
 	/// Requests in progress count first; open flows, which become requests later, break ties. The balancer's own zone
-	/// is preferred as long as its upstreams have free slots, since bytes between zones are scarce. \param declined
-	/// Instances that have already declined this flow. \param hash		Hash of the flow; spreads flows over equal
-	/// upstreams. \returns		Nothing when no upstream takes new flows.
+	/// is preferred as long as its upstreams have free slots, since bytes between zones are scarce.
+	///
+	/// \param declined	Instances that have already declined this flow.
+	/// \param hash		Hash of the flow; spreads flows over equal upstreams.
+	/// \returns		Nothing when no upstream takes new flows.
 	[[nodiscard]] const known_upstream* choose_upstream(const catalog& known, service_key service,
 														const load_table& loads, std::string_view zone,
 														std::span<const ipv4> declined, std::uint64_t hash,
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -10,6 +10,9 @@
 		/// go through another balancer.
 		constexpr std::chrono::seconds longest_idle{60};
 
+		/// An agent reports its load once a second at least; one that misses two reports may be gone.
+		constexpr milliseconds agent_silence{2'500};
+
 		/// How many upstreams are tried with one opening packet.
 		constexpr std::size_t max_declined = 8;
 
@@ -36,6 +39,13 @@
 			}
 		}
 
+		/// Whether the agent of an instance is alive as far as its messages tell.
+		[[nodiscard]] bool was_heard_lately(const balancer_state& state, ipv4 agent, monotonic_time now)
+		{
+			const auto found = state.loads.find(agent);
+			return found != state.loads.end() && now - found->second.reported < agent_silence;
+		}
+
 		/// Asks for the holder of a flow. A process cannot know which services the route named before it started, so as
 		/// long as such a flow can be open it asks all agents. An upstream without entry may still hold the flow, but
 		/// its agent may be gone too, so its answer is not needed.
@@ -56,7 +66,7 @@
 				for (const auto* it : upstreams)
 				{
 					add_instance(decision.agents, it->entry.address.ip);
-					if (it->listed)
+					if (it->listed || was_heard_lately(state, it->entry.address.ip, now))
 					{
 						add_instance(decision.needed, it->entry.address.ip);
 					}
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -147,6 +147,17 @@
 			EXPECT_EQ(std::ranges::count(decision.needed, instance(1)), 0);
 		}
 
+		// Guards against a reset of a flow at an upstream whose entry lapsed in an outage while it serves.
+		TEST_F(a_balancer_without_memory_of_a_flow, waits_for_an_upstream_without_entry_whose_agent_is_alive)
+		{
+			put(known, "u1", removed_record{});
+			EXPECT_EQ(hear(message_kind::load, instance(1)).what, action::drop);
+			now += 1s;
+			EXPECT_EQ(std::ranges::count(packet(data()).needed, instance(1)), 1);
+			now += 2s;
+			EXPECT_EQ(std::ranges::count(packet(data()).needed, instance(1)), 0);
+		}
+
 		// Guards against packets that go on to the upstream which the caller did not choose, when two accepted the
 		// opening.
 		TEST_F(a_balancer_without_memory_of_a_flow, searches_with_the_packet_that_a_wrong_holder_gave_back)
