Keep a flow that a slow upstream may have accepted; deliver searched packets to announced holders

Cause 1: a copy of an opening packet that all other upstreams declined led to a reset, although the first choice had only been slow and its acceptance could be under way. The balancer kept one list for "declined" and "did not answer"; it now keeps those that are silent apart, waits for them, and refuses as soon as the last of them declines too.

Cause 2: a holder that became known by an announcement ended the search but dropped the packet that the search kept, so the caller repeated it 200 ms later. The packet is dropped only where a trial has delivered it.

Also: a search that ends without a result is logged with the instances whose answer is missing, and load_age_ms says "unknown" for an agent that has not reported.

Ruled out for cause 1: counting a silent upstream as declined after a time. A frozen agent can still deliver the packet.

Before: does_not_refuse_while_one_that_was_asked_may_have_accepted and refuses_when_the_slow_first_choice_declines_too fail on the code before.

--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -12,9 +12,10 @@
 	/// What a balancer remembers of a flow. All of it can be lost: a search finds the holder again.
 	struct balancer_flow
 	{
-		ipv4 holder{};              ///< Agent's instance.
-		bool confirmed = false;     ///< The agent said that its upstream holds the flow.
-		std::vector<ipv4> declined; ///< Instances that did not take the opening packet.
+		ipv4 holder{};            ///< Agent's instance.
+		bool confirmed = false;   ///< The agent said that its upstream holds the flow.
+		std::vector<ipv4> tried;  ///< Instances that got the opening packet before the holder.
+		std::vector<ipv4> silent; ///< Those of them that have not answered; one may have opened the flow.
 		monotonic_time used;
 	};
 
--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -15,6 +15,7 @@
 		std::vector<std::byte> packet;
 		std::uint32_t acknowledgement = 0; ///< Newest one of the caller; a reset must be near it.
 		std::vector<ipv4> asked;           ///< Instances that may hold the flow.
+		std::vector<ipv4> tried;           ///< Instances that got the packet as a trial.
 		std::vector<ipv4> unanswered;      ///< Those of them whose answer is needed to call the flow gone.
 		monotonic_time begun;
 		std::optional<monotonic_time> denied; ///< When the last needed answer came and nobody held the flow.
@@ -74,6 +75,9 @@
 	[[nodiscard]] search_step take_answer(holder_search& search, ipv4 agent, const flow_answer& it, monotonic_time now,
 										  bool complete);
 
+	/// Ends the search for a flow whose holder became known otherwise. The packet goes there unless a trial brought it.
+	[[nodiscard]] search_step take_holder(holder_search& search, const flow_id& id, ipv4 agent);
+
 	/// Returns the flows that all have denied.
 	[[nodiscard]] std::vector<flow_id> denied_flows(const holder_search& search);
 
@@ -83,6 +87,14 @@
 	[[nodiscard]] search_step confirm_denied(holder_search& search, const flow_id& id, const std::vector<ipv4>& needed,
 											 monotonic_time now, bool current);
 
+	/// Search that ended without a result.
+	struct expired_search
+	{
+		flow_id flow;
+		std::vector<ipv4> unanswered; ///< Instances whose answer was missing.
+	};
+
 	/// Forgets searches that got no result.
-	void forget_searches(holder_search& search, monotonic_time now);
+	/// \returns	Those searches, whose callers are left without an answer.
+	std::vector<expired_search> forget_searches(holder_search& search, monotonic_time now);
 }
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -184,8 +184,14 @@
 				}
 				else if (it.kind == message_kind::held)
 				{
-					// The upstream has got the packet already, by a trial or with the opening packet.
-					search_.pending.erase(it.flow);
+					carry_out(take_holder(search_, it.flow, agent), agent);
+				}
+				else if (it.kind == message_kind::holdings)
+				{
+					for (const auto& flow : steering::decode_flows(it.packet))
+					{
+						carry_out(take_holder(search_, flow, agent), agent);
+					}
 				}
 				else if (it.kind == message_kind::not_held)
 				{
@@ -354,6 +360,7 @@
 				node_.metrics.add(counter::flows_admitted);
 				const auto agent = decision.agents.front();
 				const auto& load = state_.loads[agent];
+				const bool reported = load.reported != monotonic_time{};
 				const auto age =
 					std::chrono::duration_cast<std::chrono::milliseconds>(node_.loop.now() - load.reported);
 				const auto flow = flow_of_caller(it);
@@ -362,7 +369,7 @@
 								 {"copy", std::to_string(it.acknowledgement)},
 								 {"agent", to_string(agent)},
 								 {"at_work", std::to_string(load.report.at_work)},
-								 {"load_age_ms", std::to_string(age.count())},
+								 {"load_age_ms", reported ? std::to_string(age.count()) : "unknown"},
 								 {"version", std::to_string(node_.known.version)}});
 			}
 
@@ -375,6 +382,18 @@
 								 {"version", std::to_string(node_.known.version)}});
 			}
 
+			void log_expired(const steering::expired_search& it)
+			{
+				const auto first = it.unanswered.empty() ? std::string{} : to_string(it.unanswered.front());
+				node_.log.write(log_level::warning, "search_expired",
+								"the holder of a flow was not found, and not all agents answered",
+								{{"flow", fmt::format("{}>{}", to_string(it.flow.caller), to_string(it.flow.route))},
+								 {"unanswered", std::to_string(it.unanswered.size())},
+								 {"first_unanswered", first},
+								 {"catalog_complete", node_.upstreams_complete() ? "yes" : "no"},
+								 {"version", std::to_string(node_.known.version)}});
+			}
+
 			/// Waits until the agents are known, so that their first greeting makes them send the flows of this zone.
 			void greet_when_loaded()
 			{
@@ -399,7 +418,10 @@
 					send(upstream.entry.address.ip, it);
 				}
 				forget_idle_flows(state_, node_.loop.now());
-				forget_searches(search_, node_.loop.now());
+				for (const auto& expired : forget_searches(search_, node_.loop.now()))
+				{
+					log_expired(expired);
+				}
 				forget_former(node_.known, node_.loop.now());
 				node_.loop.at(node_.loop.now() + greeting_interval, [this] { greet_agents(); });
 			}
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -14,7 +14,7 @@
 		constexpr milliseconds agent_silence{2'500};
 
 		/// How many upstreams are tried with one opening packet.
-		constexpr std::size_t max_declined = 8;
+		constexpr std::size_t max_tried = 8;
 
 		[[nodiscard]] steering_decision give_up(steering_decision::action what, reason why)
 		{
@@ -90,18 +90,24 @@
 		{
 			const auto hash = hash_flow(id);
 			const auto service = choose_service(route, hash);
-			const auto* chosen =
-				flow.declined.size() < max_declined
-					? choose_upstream(known, service, state.loads, state.zone, flow.declined, hash, now)
-					: nullptr;
+			const auto* chosen = flow.tried.size() < max_tried
+									 ? choose_upstream(known, service, state.loads, state.zone, flow.tried, hash, now)
+									 : nullptr;
+			flow.confirmed = false;
+			if (chosen == nullptr && !flow.silent.empty())
+			{
+				// One that has not answered may have opened the flow, so a reset could hit an open flow.
+				flow.holder = flow.silent.back();
+				flow.silent.pop_back();
+				return {};
+			}
 			if (chosen == nullptr)
 			{
-				const auto why = flow.declined.empty() ? reason::no_upstream : reason::all_declined;
+				const auto why = flow.tried.empty() ? reason::no_upstream : reason::all_declined;
 				state.flows.erase(id);
 				return give_up(steering_decision::action::reset, why);
 			}
 			flow.holder = chosen->entry.address.ip;
-			flow.confirmed = false;
 			note_sent(state, flow.holder, now);
 			return forward(message_kind::open, service, flow.holder);
 		}
@@ -126,16 +132,16 @@
 			}
 			if (flow.holder != ipv4{})
 			{
-				// A copy came although the first choice had time to answer.
-				flow.declined.push_back(flow.holder);
+				// A copy came although the last choice had time to answer.
+				flow.tried.push_back(flow.holder);
+				flow.silent.push_back(flow.holder);
 			}
 			auto decision = place(state, known, route, id, flow, now);
-			if (decision.what == steering_decision::action::reset && decision.why == reason::all_declined)
+			if (decision.what == steering_decision::action::drop)
 			{
-				// All have been asked and none has refused: start again with the copy.
-				auto& again = state.flows[id];
-				again.used = now;
-				return place(state, known, route, id, again, now);
+				// All have been asked and some have not answered: the copy starts again.
+				state.flows[id] = {.holder = {}, .confirmed = false, .tried = {}, .silent = {}, .used = now};
+				return place(state, known, route, id, state.flows[id], now);
 			}
 			return decision;
 		}
@@ -162,11 +168,16 @@
 			{
 				return give_up(steering_decision::action::reset, reason::no_route);
 			}
-			if (found == state.flows.end() || found->second.confirmed || found->second.holder != agent)
+			if (found == state.flows.end() || found->second.confirmed)
+			{
+				return {};
+			}
+			if (found->second.holder != agent)
 			{
+				std::erase(found->second.silent, agent);
 				return {};
 			}
-			found->second.declined.push_back(agent);
+			found->second.tried.push_back(agent);
 			return place(state, known, route->second, id, found->second, now);
 		}
 
@@ -239,7 +250,8 @@
 		flow.holder = agent;
 		flow.confirmed = true;
 		flow.used = now;
-		flow.declined.clear();
+		flow.tried.clear();
+		flow.silent.clear();
 	}
 
 	steering_decision take_agent_message(balancer_state& state, const catalog& known, const message& it,
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -35,6 +35,7 @@
 		auto& it = search.pending[id];
 		it.packet.assign(packet.begin(), packet.end());
 		it.acknowledgement = acknowledgement;
+		it.tried.clear();
 		if (!repeat)
 		{
 			return false;
@@ -77,6 +78,7 @@
 			case possession::held:
 				return end_search(search, it.flow, search_step::action::deliver);
 			case possession::unsure:
+				found->second.tried.push_back(agent);
 				return {.what = search_step::action::try_out,
 						.flow = it.flow,
 						.packet = found->second.packet,
@@ -92,6 +94,18 @@
 		return {};
 	}
 
+	search_step take_holder(holder_search& search, const flow_id& id, ipv4 agent)
+	{
+		const auto found = search.pending.find(id);
+		if (found == search.pending.end())
+		{
+			return {};
+		}
+		const bool delivered = std::ranges::find(found->second.tried, agent) != found->second.tried.end();
+		auto step = end_search(search, id, search_step::action::deliver);
+		return delivered ? search_step{} : step;
+	}
+
 	std::vector<flow_id> denied_flows(const holder_search& search)
 	{
 		std::vector<flow_id> flows;
@@ -124,8 +138,19 @@
 		return current ? end_search(search, id, search_step::action::give_up) : search_step{};
 	}
 
-	void forget_searches(holder_search& search, monotonic_time now)
+	std::vector<expired_search> forget_searches(holder_search& search, monotonic_time now)
 	{
-		std::erase_if(search.pending, [now](const auto& it) { return now - it.second.begun > search_retention; });
+		std::vector<expired_search> expired;
+		for (auto it = search.pending.begin(); it != search.pending.end();)
+		{
+			if (now - it->second.begun <= search_retention)
+			{
+				++it;
+				continue;
+			}
+			expired.push_back({.flow = it->first, .unanswered = std::move(it->second.unanswered)});
+			it = search.pending.erase(it);
+		}
+		return expired;
 	}
 }
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -79,6 +79,38 @@
 			EXPECT_EQ(decision.why, reason::all_declined);
 		}
 
+		// Guards against a reset of an open flow: a copy that all others declined led to a reset while the acceptance
+		// of the slow first choice was under way.
+		TEST_F(a_balancer_that_opens_a_flow, does_not_refuse_while_one_that_was_asked_may_have_accepted)
+		{
+			const auto first = packet(opening()).agents.at(0);
+			now += 200ms;
+			const auto copy = opening(1);
+			auto decision = packet(copy);
+			while (decision.what == action::forward)
+			{
+				ASSERT_NE(decision.agents.at(0), first);
+				decision = hear(message_kind::declined, decision.agents.at(0), &copy);
+			}
+			EXPECT_EQ(decision.what, action::drop);
+			EXPECT_EQ(hear(message_kind::held, first).what, action::drop);
+			EXPECT_EQ(packet(data()).agents, std::vector{first});
+		}
+
+		// Guards against a caller that waits for its timeout because a late refusal was not counted.
+		TEST_F(a_balancer_that_opens_a_flow, refuses_when_the_slow_first_choice_declines_too)
+		{
+			const auto first = packet(opening()).agents.at(0);
+			now += 200ms;
+			const auto copy = opening(1);
+			auto decision = packet(copy);
+			while (decision.what == action::forward)
+			{
+				decision = hear(message_kind::declined, decision.agents.at(0), &copy);
+			}
+			EXPECT_EQ(hear(message_kind::declined, first, &copy).what, action::reset);
+		}
+
 		// Guards against new work on upstreams that leave and in zones that are evacuated.
 		TEST_F(a_balancer_that_opens_a_flow, avoids_draining_upstreams_and_evacuated_zones)
 		{
@@ -290,6 +322,26 @@
 			EXPECT_EQ(answered(4, possession::held).what, step::deliver);
 		}
 
+		// Guards against a request that waits 200 ms for its retransmission: the holder was announced by another way
+		// while the search kept the packet, and the packet was dropped.
+		TEST_F(a_search_for_a_holder, delivers_its_packet_to_a_holder_that_is_announced)
+		{
+			begin();
+			const auto found = take_holder(search, flow, instance(2));
+			EXPECT_EQ(found.what, step::deliver);
+			EXPECT_EQ(found.packet, bytes);
+			EXPECT_FALSE(search.pending.contains(flow));
+		}
+
+		// Guards against a packet that is delivered twice.
+		TEST_F(a_search_for_a_holder, does_not_deliver_a_packet_again_that_the_holder_got_as_a_trial)
+		{
+			begin();
+			answered(2, possession::unsure);
+			EXPECT_EQ(take_holder(search, flow, instance(2)).what, step::none);
+			EXPECT_FALSE(search.pending.contains(flow));
+		}
+
 		// Guards against a reset while the holder's entry may be missing because the store was out of reach.
 		TEST_F(a_search_for_a_holder, gives_nothing_up_while_the_catalog_may_be_incomplete)
 		{
