Take new settings without a restart

Cause: SIGHUP was only logged, and a changed settings file was not noticed at all; a process kept calling a store that had moved and kept its old stop grace.

SIGHUP, or another time stamp of the file (looked at every 5 s), reads it again. The store's address and the stop grace are taken over; sockets, names and identities are named in the log as waiting for a restart; settings that cannot be used leave those in force. What both roles answer at the status server moved to node, where it stood twice.

Ruled out: inotify, which the platform's processes may not be allowed, and which needs another descriptor.

--- a/apps/nutmegturn-node/main.cpp
+++ b/apps/nutmegturn-node/main.cpp
@@ -28,7 +28,8 @@
 				   {"zone", it.zone},
 				   {"instance", steering::to_string(it.instance)},
 				   {"build", NUTMEGTURN_VERSION}});
-		return agent ? node::run_agent(it, log) : node::run_balancer(it, log);
+		const node::settings_file file{.path = settings_path, .beside_upstream = agent};
+		return agent ? node::run_agent(it, file, log) : node::run_balancer(it, file, log);
 	}
 }
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -67,8 +67,9 @@
 		class agent_node
 		{
 		public:
-			agent_node(const steering::node_settings& settings, node_log& log)
-				: node_{settings, log}, status_{node_.loop, [this](std::string_view path) { return answer(path); }},
+			agent_node(const steering::node_settings& settings, const settings_file& file, node_log& log)
+				: node_{settings, file, log}, status_{node_.loop,
+													  [this](std::string_view path) { return answer(path); }},
 				  signals_{node_.loop, [this](int signal) { on_signal(signal); }}
 			{
 				state_.gate.instance = settings.instance;
@@ -123,20 +124,7 @@
 		private:
 			[[nodiscard]] status_response answer(std::string_view path)
 			{
-				if (path == "/readyz")
-				{
-					return {.status = node_.loaded() && !state_.gate.stopping ? 200 : 503, .body = {}};
-				}
-				if (path == "/metrics")
-				{
-					node_.metrics.set(gauge::flows_open, static_cast<std::int64_t>(state_.flows.size()));
-					return {.status = 200, .body = node_.metrics_text()};
-				}
-				if (path == orders_path)
-				{
-					return {.status = 200, .body = node_.orders.listing()};
-				}
-				return {.status = 404, .body = {}};
+				return node_.answer(path, node_.loaded() && !state_.gate.stopping, state_.flows.size());
 			}
 
 			void read_peers()
@@ -384,7 +372,7 @@
 			{
 				if (signal == SIGHUP)
 				{
-					node_.log.write(log_level::info, "reload", "settings are read at the start only");
+					node_.reload();
 					return;
 				}
 				if (state_.gate.stopping)
@@ -420,9 +408,9 @@
 		};
 	}
 
-	int run_agent(const steering::node_settings& settings, node_log& log)
+	int run_agent(const steering::node_settings& settings, const settings_file& file, node_log& log)
 	{
-		agent_node agent{settings, log};
+		agent_node agent{settings, file, log};
 		if (const auto why = agent.open(); !why.empty())
 		{
 			log.write(log_level::error, "start_failed", why);
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -54,8 +54,9 @@
 		class balancer_node
 		{
 		public:
-			balancer_node(const steering::node_settings& settings, node_log& log)
-				: node_{settings, log}, status_{node_.loop, [this](std::string_view path) { return answer(path); }},
+			balancer_node(const steering::node_settings& settings, const settings_file& file, node_log& log)
+				: node_{settings, file, log}, status_{node_.loop,
+													  [this](std::string_view path) { return answer(path); }},
 				  signals_{node_.loop, [this](int signal) { on_signal(signal); }}
 			{
 				state_.zone = settings.zone;
@@ -100,26 +101,12 @@
 		private:
 			[[nodiscard]] status_response answer(std::string_view path)
 			{
-				if (path == "/readyz")
-				{
-					const bool learned = greeted_ && node_.loop.now() - *greeted_ >= learning_time;
-					const bool ready = learned && !stopping_;
-					return {.status = ready ? 200 : 503, .body = {}};
-				}
-				if (path == "/metrics")
-				{
-					node_.metrics.set(gauge::flows_open, static_cast<std::int64_t>(state_.flows.size()));
-					return {.status = 200, .body = node_.metrics_text()};
-				}
-				if (path == orders_path)
-				{
-					return {.status = 200, .body = node_.orders.listing()};
-				}
 				if (path == upstreams_path)
 				{
 					return {.status = 200, .body = node_.upstreams.listing()};
 				}
-				return {.status = 404, .body = {}};
+				const bool learned = greeted_ && node_.loop.now() - *greeted_ >= learning_time;
+				return node_.answer(path, learned && !stopping_, state_.flows.size());
 			}
 
 			void read_callers()
@@ -451,7 +438,7 @@
 			{
 				if (signal == SIGHUP)
 				{
-					node_.log.write(log_level::info, "reload", "settings are read at the start only");
+					node_.reload();
 					return;
 				}
 				if (stopping_)
@@ -504,9 +491,9 @@
 		};
 	}
 
-	int run_balancer(const steering::node_settings& settings, node_log& log)
+	int run_balancer(const steering::node_settings& settings, const settings_file& file, node_log& log)
 	{
-		balancer_node balancer{settings, log};
+		balancer_node balancer{settings, file, log};
 		if (const auto why = balancer.open(); !why.empty())
 		{
 			log.write(log_level::error, "start_failed", why);
--- a/src/node/http_call.cpp
+++ b/src/node/http_call.cpp
@@ -35,6 +35,12 @@
 		close();
 	}
 
+	void http_connection::move_to(const endpoint& server)
+	{
+		close();
+		server_ = server;
+	}
+
 	void http_connection::close()
 	{
 		if (timer_ != 0)
--- a/src/node/http_call.hpp
+++ b/src/node/http_call.hpp
@@ -45,6 +45,9 @@
 		void get(const std::string& target, std::chrono::milliseconds timeout,
 				 std::function<void(const http_outcome&)> done);
 
+		/// Closes the connection and sends further calls to another server.
+		void move_to(const endpoint& server);
+
 		/// Closes the connection and forgets the call in progress.
 		void close();
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,9 +1,14 @@
 #include "node/node.hpp"
 
+#include "nutmegturn/steering/settings_change.hpp"
+
+#include "platform/settings.hpp"
+
 #include <fmt/format.h>
 #include <unistd.h>
 
 #include <array>
+#include <filesystem>
 
 namespace nutmegturn::node
 {
@@ -16,12 +21,24 @@
 		constexpr std::chrono::milliseconds relay_interval{500};
 
 		constexpr std::chrono::milliseconds relay_timeout{400};
+
+		/// Between checks of whether the settings file changed without a signal.
+		constexpr std::chrono::seconds settings_check_interval{5};
+
+		/// Returns when a file was last written, or -1 when it cannot be told.
+		[[nodiscard]] std::int64_t time_stamp(const std::string& path)
+		{
+			std::error_code ec;
+			const auto at = std::filesystem::last_write_time(path, ec);
+			return ec ? -1 : static_cast<std::int64_t>(at.time_since_epoch().count());
+		}
 	}
 
-	node::node(const steering::node_settings& given, node_log& out)
+	node::node(const steering::node_settings& given, settings_file from, node_log& out)
 		: settings{given}, log{out},
 		  orders{loop, log, known, to_endpoint(given.store), record_group::operator_orders, process_seed(given)},
-		  upstreams{loop, log, known, to_endpoint(given.store), record_group::upstreams, process_seed(given) + 1}
+		  upstreams{loop, log, known, to_endpoint(given.store), record_group::upstreams, process_seed(given) + 1},
+		  file{std::move(from)}, file_changed_at{time_stamp(file.path)}
 	{
 	}
 
@@ -29,6 +46,56 @@
 	{
 		orders.start();
 		upstreams.start();
+		loop.at(loop.now() + settings_check_interval, [this] { watch_settings(); });
+	}
+
+	void node::watch_settings()
+	{
+		if (time_stamp(file.path) != file_changed_at)
+		{
+			reload();
+		}
+		loop.at(loop.now() + settings_check_interval, [this] { watch_settings(); });
+	}
+
+	void node::reload()
+	{
+		file_changed_at = time_stamp(file.path);
+		const auto read = platform::read_settings(file.path, file.beside_upstream);
+		if (!has_value(read))
+		{
+			log.write(log_level::error, "reload_refused", to_string(std::get<1>(read)));
+			return;
+		}
+		const auto before = settings.store;
+		const auto change = apply_settings(settings, std::get<0>(read));
+		if (settings.store != before)
+		{
+			orders.move_to(to_endpoint(settings.store));
+			upstreams.move_to(to_endpoint(settings.store));
+		}
+		log.write(change.after_restart.empty() ? log_level::info : log_level::warning, "reload",
+				  "the settings file was read again",
+				  {{"applied", fmt::format("{}", fmt::join(change.applied, " "))},
+				   {"after_restart", fmt::format("{}", fmt::join(change.after_restart, " "))}});
+	}
+
+	status_response node::answer(std::string_view path, bool ready, std::size_t flows)
+	{
+		if (path == "/readyz")
+		{
+			return {.status = ready ? 200 : 503, .body = {}};
+		}
+		if (path == "/metrics")
+		{
+			metrics.set(gauge::flows_open, static_cast<std::int64_t>(flows));
+			return {.status = 200, .body = metrics_text()};
+		}
+		if (path == orders_path)
+		{
+			return {.status = 200, .body = orders.listing()};
+		}
+		return {.status = 404, .body = {}};
 	}
 
 	void node::hear_of_orders(steering::ipv4 instance, std::uint64_t revision, steering::ipv4 balancer)
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -10,6 +10,13 @@
 
 namespace nutmegturn::node
 {
+	/// Where the settings come from.
+	struct settings_file
+	{
+		std::string path;
+		bool beside_upstream = false; ///< Fields of a process beside an upstream are required.
+	};
+
 	/// What both roles share: settings, log, loop, catalog and the readers of the metadata store.
 	struct node
 	{
@@ -17,7 +24,17 @@
 		static constexpr std::uint16_t metrics_port = 9'464;
 
 		/// Creates the parts; nothing is started.
-		node(const steering::node_settings& given, node_log& out);
+		/// \param file	Where the settings came from, to read them again.
+		node(const steering::node_settings& given, settings_file file, node_log& out);
+
+		/// Answers what both roles serve at the status server.
+		/// \param ready	Answer to the readiness check.
+		/// \param flows	Number of open flows.
+		[[nodiscard]] status_response answer(std::string_view path, bool ready, std::size_t flows);
+
+		/// Reads the settings file again and takes over what can change while the process runs. Settings that cannot be
+		/// used leave those in force.
+		void reload();
 
 		/// Starts to read the metadata store.
 		void start();
@@ -56,8 +73,11 @@
 		std::unique_ptr<http_connection> orders_relay;    ///< Connection to another process.
 		std::unique_ptr<http_connection> upstreams_relay; ///< Connection to another process.
 		monotonic_time relay_asked;
+		settings_file file;
+		std::int64_t file_changed_at = 0; ///< Time stamp of the settings file, in nanoseconds.
 
 	private:
+		void watch_settings();
 		void read_from(steering::ipv4 instance, std::unique_ptr<http_connection>& connection, std::string_view path,
 					   store_reader& reader);
 	};
@@ -73,9 +93,9 @@
 
 	/// Serves callers: takes their packets and steers them to agents.
 	/// \returns	Exit status.
-	int run_balancer(const steering::node_settings& settings, node_log& log);
+	int run_balancer(const steering::node_settings& settings, const settings_file& file, node_log& log);
 
 	/// Serves one upstream: the gate in front of it and its way back to callers.
 	/// \returns	Exit status.
-	int run_agent(const steering::node_settings& settings, node_log& log);
+	int run_agent(const steering::node_settings& settings, const settings_file& file, node_log& log);
 }
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -23,6 +23,16 @@
 		choose_part_ = std::move(choose);
 	}
 
+	void store_reader::move_to(const endpoint& store)
+	{
+		const bool calling = calls_ > 0 && pause_ == 0;
+		connection_.move_to(store);
+		if (calling)
+		{
+			call();
+		}
+	}
+
 	void store_reader::start()
 	{
 		follower_.due = loop_.now();
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -29,6 +29,9 @@
 			follower_.change_pause = steering::checking_pause;
 		}
 
+		/// Reads from another address from now on; a call in progress is made again there.
+		void move_to(const endpoint& store);
+
 		/// Starts to read.
 		void start();
 
