--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -64,6 +64,9 @@
 		std::uint32_t acknowledgement = 0;
 	};
 
+	/// Returns whether no further search can begin, so that a packet of this flow has to be dropped.
+	[[nodiscard]] bool is_full(const holder_search& search, const flow_id& id);
+
 	/// Begins or joins the search for a flow.
 	/// \param asked	Instances that may hold it.
 	/// \param needed	Those whose answer is needed to call it gone.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -429,6 +429,7 @@
 				to_upstream_->flush();
 				to_callers_->flush();
 				to_peers_->flush();
+				node_.datagrams_refused = to_upstream_->failed() + to_callers_->failed() + to_peers_->failed();
 			}
 
 			node node_;
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -268,14 +268,18 @@
 					case steering_decision::action::drop:
 						if (decision.why != reason::none)
 						{
-							node_.metrics.add(counter::packets_dropped, decision.why);
-							log_flow(log_level::warning, "packet_dropped", "a packet was dropped", flow_of_caller(it),
-									 to_string(decision.why));
+							drop(decision.why, flow_of_caller(it));
 						}
 						break;
 				}
 			}
 
+			void drop(reason why, const steering::flow_id& flow)
+			{
+				node_.metrics.add(counter::packets_dropped, why);
+				log_flow(log_level::warning, "packet_dropped", "a packet was dropped", flow, to_string(why));
+			}
+
 			void forward(const steering_decision& decision, std::span<const std::byte> bytes)
 			{
 				message it;
@@ -300,6 +304,11 @@
 			void look_up(const steering_decision& decision, const segment& it, std::span<const std::byte> bytes)
 			{
 				const auto now = node_.loop.now();
+				if (is_full(search_, flow_of_caller(it)))
+				{
+					drop(reason::queue_full, flow_of_caller(it));
+					return;
+				}
 				const bool first = search_.unsent.empty();
 				const bool begun = begin_search(search_, flow_of_caller(it), bytes, it.acknowledgement, decision.agents,
 												decision.needed, now);
@@ -410,6 +419,7 @@
 
 			void log_expired(const steering::expired_search& it)
 			{
+				node_.metrics.add(counter::packets_dropped, reason::upstream_silent);
 				const auto first = it.unanswered.empty() ? std::string{} : to_string(it.unanswered.front());
 				node_.log.write(log_level::warning, "search_expired",
 								"the holder of a flow was not found, and not all agents answered",
@@ -488,6 +498,7 @@
 			{
 				to_callers_->flush();
 				to_peers_->flush();
+				node_.datagrams_refused = to_callers_->failed() + to_peers_->failed();
 			}
 
 			node node_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -146,8 +146,10 @@
 		metrics.set(gauge::config_age_milliseconds, std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 		metrics.set(gauge::view_current, configuration_current() ? 1 : 0);
 		metrics_snapshot snapshot{std::array<const metrics_shard*, 1>{&metrics}};
-		return fmt::format("{}nutmegturn_store_calls_total {}\nnutmegturn_log_lines_dropped_total {}\n",
-						   snapshot.to_prometheus(), orders.calls() + upstreams.calls(), log.dropped());
+		return fmt::format("{}nutmegturn_store_calls_total {}\nnutmegturn_log_lines_dropped_total {}\n"
+						   "nutmegturn_unreadable_records_total {}\nnutmegturn_datagrams_refused_total {}\n",
+						   snapshot.to_prometheus(), orders.calls() + upstreams.calls(), log.dropped(),
+						   known.unreadable, datagrams_refused);
 	}
 
 	bool node::loaded() const noexcept
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -73,6 +73,7 @@
 		std::unique_ptr<http_connection> orders_relay;    ///< Connection to another process.
 		std::unique_ptr<http_connection> upstreams_relay; ///< Connection to another process.
 		monotonic_time relay_asked;
+		std::uint64_t datagrams_refused = 0; ///< Datagrams that the system did not take.
 		settings_file file;
 		std::int64_t file_changed_at = 0; ///< Time stamp of the settings file, in nanoseconds.
 
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -24,15 +24,20 @@
 		}
 	}
 
+	bool is_full(const holder_search& search, const flow_id& id)
+	{
+		return search.pending.size() >= max_searches && !search.pending.contains(id);
+	}
+
 	bool begin_search(holder_search& search, const flow_id& id, std::span<const std::byte> packet,
 					  std::uint32_t acknowledgement, std::vector<ipv4> asked, std::vector<ipv4> needed,
 					  monotonic_time now)
 	{
-		const auto found = search.pending.find(id);
-		if (found == search.pending.end() && search.pending.size() >= max_searches)
+		if (is_full(search, id))
 		{
 			return false;
 		}
+		const auto found = search.pending.find(id);
 		const bool denied = found != search.pending.end() && found->second.denied.has_value();
 		const bool repeat = found == search.pending.end() || (!denied && now - found->second.begun >= search_timeout);
 		auto& it = search.pending[id];
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -300,6 +300,21 @@
 			}
 		};
 
+		// Guards against memory without bound, and against packets that are dropped without being counted.
+		TEST_F(a_search_for_a_holder, takes_no_further_flow_when_the_table_is_full)
+		{
+			for (std::uint32_t i = 0; i < max_searches; ++i)
+			{
+				const flow_id id{.caller = {.ip = ipv4{i}, .port = 1}, .route = route_address};
+				EXPECT_FALSE(is_full(search, id));
+				EXPECT_TRUE(begin_search(search, id, bytes, 0, {instance(1)}, {instance(1)}, now));
+			}
+			EXPECT_TRUE(is_full(search, flow));
+			EXPECT_FALSE(begin());
+			EXPECT_FALSE(is_full(search, {.caller = {.ip = ipv4{7}, .port = 1}, .route = route_address}));
+			EXPECT_EQ(search.pending.size(), max_searches);
+		}
+
 		// Guards against links that choke after a power loss: copies of every packet went to all 53 upstreams, and
 		// service stayed below 0.6 for six seconds.
 		TEST_F(a_search_for_a_holder, asks_each_agent_once_for_all_packets_of_a_flow)
