--- /dev/null
+++ b/fuzz/platform_store.cpp
@@ -0,0 +1,109 @@
+#include "nutmegturn/random.hpp"
+
+#include "platform/store_format.hpp"
+
+#include <fmt/core.h>
+#include <sodium.h>
+
+#include <array>
+#include <cstdlib>
+#include <set>
+
+namespace
+{
+	using namespace nutmegturn;
+
+	constexpr std::uint64_t seed = 1;
+	constexpr int inputs = 60'000;
+
+	constexpr std::array<std::string_view, 3> keys{"servers/i-1", "op/config", "op/evacuate/a"};
+
+	constexpr std::array<std::string_view, 3> values{
+		R"({"service":"desk","address":"10.1.0.9:8080","zone":"a","version":"v1","max_concurrency":5,)"
+		R"("state":"ready","cold_remaining_ms":120,"sequence":4,"born":1700000000000})",
+		R"({"version":7,"routes":[{"host":"198.18.0.1","prefix":"/443/","service":"desk","type":"idempotent"}],)"
+		R"("services":[{"name":"desk","cold_start_s":2,"cold_per_s":10}],"limits":{"idle_timeout_ms":9000}})",
+		R"({"zone":"a"})"};
+
+	/// Changes, drops or doubles some bytes.
+	void spoil(std::string& text, random_source& random)
+	{
+		for (auto n = random.below(4); n > 0 && !text.empty(); --n)
+		{
+			const auto at = random.below(text.size());
+			switch (random.below(3))
+			{
+				case 0:
+					text[at] = static_cast<char>(random.below(256));
+					break;
+				case 1:
+					text.erase(at, 1 + random.below(8));
+					break;
+				default:
+					text.insert(at, text.substr(at, 1 + random.below(16)));
+					break;
+			}
+		}
+	}
+
+	[[nodiscard]] std::string base64(const std::string& text)
+	{
+		std::string encoded(sodium_base64_ENCODED_LEN(text.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
+		sodium_bin2base64(encoded.data(), encoded.size(), reinterpret_cast<const unsigned char*>(text.data()),
+						  text.size(), sodium_base64_VARIANT_ORIGINAL);
+		encoded.resize(encoded.find('\0'));
+		return encoded;
+	}
+
+	/// Returns a listing or a watch's answer with one record, spoilt inside and outside.
+	/// \param revision	Of the record.
+	[[nodiscard]] std::string make_input(std::uint64_t revision, random_source& random)
+	{
+		const auto which = random.below(keys.size());
+		std::string value{values[which]};
+		spoil(value, random);
+		auto body = fmt::format(R"({{"{}":[{{"key":"{}","revision":{},"value":"{}"}}],"as_of":{},"has_more":{}}})",
+								random.below(2) == 0 ? "items" : "events", keys[which], revision, base64(value),
+								random.below(50), random.below(2) == 0);
+		if (random.below(2) == 0)
+		{
+			spoil(body, random);
+		}
+		return body;
+	}
+}
+
+/// Feeds seeded answers of the metadata store to the decoder and the catalog; a crash, a sanitizer report or a
+/// configuration that steps back is the failure.
+int main()
+{
+	random_source random{seed};
+	steering::catalog known;
+	monotonic_time now{std::chrono::seconds{1}};
+	int accepted = 0;
+	for (int i = 0; i < inputs; ++i)
+	{
+		now += std::chrono::milliseconds{1};
+		const auto answer =
+			platform::decode_answer(200, make_input(static_cast<std::uint64_t>(i) + random.below(3), random));
+		const auto version = known.version;
+		std::set<std::string> listed;
+		for (const auto& it : answer.records)
+		{
+			const bool order = it.key.starts_with("op/");
+			const auto group = order ? steering::record_group::operator_orders : steering::record_group::upstreams;
+			apply_record(known, group, it, now);
+			listed.insert(it.key);
+		}
+		finish_listing(known, steering::record_group::upstreams, listed, now);
+		forget_former(known, now);
+		accepted += answer.how == platform::store_answer::outcome::complete ? 1 : 0;
+		if (known.version < version)
+		{
+			fmt::print("input {}: the configuration stepped back from {} to {}\n", i, version, known.version);
+			return EXIT_FAILURE;
+		}
+	}
+	fmt::print("{} of {} inputs accepted, {} records unreadable\n", accepted, inputs, known.unreadable);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/fuzz/steering_message.cpp
@@ -0,0 +1,114 @@
+#include "nutmegturn/random.hpp"
+#include "nutmegturn/steering/agent_flows.hpp"
+#include "nutmegturn/steering/balancer_flows.hpp"
+#include "nutmegturn/steering/holder_search.hpp"
+
+#include <fmt/core.h>
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace
+{
+	using namespace nutmegturn;
+	using namespace nutmegturn::steering;
+
+	constexpr std::uint64_t seed = 1;
+	constexpr int inputs = 100'000;
+
+	/// Returns random bytes or a message of a random kind with random contents, of which some bytes are changed.
+	std::vector<std::byte> make_input(random_source& random)
+	{
+		std::vector<std::byte> contents(random.below(64));
+		for (auto& it : contents)
+		{
+			it = std::byte(random.below(256));
+		}
+		if (random.below(4) == 0)
+		{
+			return contents;
+		}
+		message it;
+		it.kind = message_kind{static_cast<std::uint8_t>(1 + random.below(12))};
+		it.version = random.below(4);
+		it.flow.caller.port = static_cast<std::uint16_t>(random.below(100));
+		it.load.at_work = static_cast<std::uint16_t>(random());
+		it.packet = contents;
+		std::vector<std::byte> buf(message_head_size + contents.size());
+		buf.resize(encode_message(it, buf));
+		for (auto n = random.below(4); n > 0; --n)
+		{
+			buf[random.below(buf.size())] = std::byte(random.below(256));
+		}
+		buf.resize(buf.size() - std::min(buf.size(), random.below(16) * random.below(2)));
+		return buf;
+	}
+
+	/// Lets a balancer take everything that a message can hold.
+	void take(balancer_state& balancer, holder_search& search, const catalog& known, const message& it,
+			  monotonic_time now)
+	{
+		const ipv4 agent{static_cast<std::uint32_t>(it.version)};
+		static_cast<void>(take_agent_message(balancer, known, it, nullptr, agent, now));
+		for (const auto& answer : decode_answers(it.packet))
+		{
+			begin_search(search, answer.flow, it.packet, 0, {agent}, {agent}, now);
+			static_cast<void>(take_answer(search, agent, answer, now, true));
+		}
+		static_cast<void>(take_queries(search));
+		static_cast<void>(take_trials(search));
+		for (const auto& id : denied_flows(search))
+		{
+			static_cast<void>(confirm_denied(search, id, {}, now, true));
+		}
+		static_cast<void>(repeat_queries(search, now));
+		static_cast<void>(forget_searches(search, now));
+	}
+}
+
+/// Feeds seeded datagrams to the decoder of messages and to the decisions behind it; a crash, a sanitizer report, a
+/// message that changes when it is written again or a table beyond its bound is the failure.
+int main()
+{
+	random_source random{seed};
+	const catalog known;
+	balancer_state balancer;
+	agent_state agent;
+	holder_search search;
+	monotonic_time now{std::chrono::seconds{1}};
+	int accepted = 0;
+	for (int i = 0; i < inputs; ++i)
+	{
+		now += std::chrono::milliseconds{1};
+		const auto input = make_input(random);
+		const auto it = decode_message(input);
+		if (!it)
+		{
+			continue;
+		}
+		++accepted;
+		std::vector<std::byte> again(message_head_size + it->packet.size());
+		again.resize(encode_message(*it, again));
+		const auto second = decode_message(again);
+		if (!second || second->kind != it->kind || !std::ranges::equal(second->packet, it->packet))
+		{
+			fmt::print("input {}: the message changes when it is written again\n", i);
+			return EXIT_FAILURE;
+		}
+		if (decode_spread(it->packet).packet.size() > it->packet.size())
+		{
+			fmt::print("input {}: a list is longer than its message\n", i);
+			return EXIT_FAILURE;
+		}
+		take(balancer, search, known, *it, now);
+		static_cast<void>(answer_query(agent, decode_flows(it->packet)));
+		static_cast<void>(take_greeting(agent, *it, ipv4{static_cast<std::uint32_t>(it->version)}, now));
+		if (balancer.flows.size() > max_balancer_flows || search.pending.size() > max_searches)
+		{
+			fmt::print("input {}: a table is larger than its bound\n", i);
+			return EXIT_FAILURE;
+		}
+	}
+	fmt::print("{} of {} inputs accepted\n", accepted, inputs);
+	return EXIT_SUCCESS;
+}
