Give less work to upstreams that reset part of their requests

An agent counts how requests end on the wire: a reset while one is in progress, or data. It reports the share of failed ones among about the last ten, which halves every two seconds without requests, so that the upstream is tried again. A balancer adds five times that share to the upstream's cost. It never gets none: it is chosen while the others are busier than that.

Ruled out: ended upstreams (no upstream_refused) and flows that nobody held (no holder_gone).

The two new tests read a field that the code before lacks.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -92,6 +92,8 @@
 		std::unordered_map<flow_id, agent_flow, flow_id_hash> flows;
 		std::size_t at_work = 0;                            ///< Flows with a request in progress.
 		std::unordered_map<ipv4, known_balancer> balancers; ///< By instance.
+		double failing = 0;                                 ///< Share of the last requests that the upstream reset.
+		monotonic_time failing_at{};                        ///< When that was last updated.
 		load_report last_sent;
 		monotonic_time last_sent_at;
 	};
@@ -147,6 +149,10 @@
 	/// store is down reads what it needs from there.
 	[[nodiscard]] ipv4 other_balancer(const agent_state& state, ipv4 receiver);
 
+	/// Returns the share of the last requests that the upstream reset. Without requests it halves every two seconds, so
+	/// that an upstream which got less work is tried again.
+	[[nodiscard]] double failing_share(const agent_state& state, monotonic_time now);
+
 	/// Returns the load to report now.
 	[[nodiscard]] load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now);
 
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -52,6 +52,7 @@
 		intake state = intake::open;
 		std::uint16_t at_work = 0;    ///< Requests in progress, queued ones included.
 		std::uint16_t open_flows = 0; ///< Flows that it holds.
+		std::uint8_t failing = 0;     ///< Percentage of its last requests that it reset.
 		std::uint16_t cold_left = 0;  ///< New flows that it still bears in this second while it is cold.
 	};
 
--- a/include/nutmegturn/steering/upstream_choice.hpp
+++ b/include/nutmegturn/steering/upstream_choice.hpp
@@ -36,6 +36,8 @@
 	/// Requests in progress count first; open flows, which become requests later, break ties. The balancer's own zone
 	/// is preferred as long as its upstreams have free slots, since bytes between zones are scarce.
 	///
+	/// An upstream that resets part of its requests gets less, however healthy it says it is, but never none.
+	///
 	/// \param declined	Instances that have already declined this flow.
 	/// \param hash		Hash of the flow; spreads flows over equal upstreams.
 	/// \returns		Nothing when no upstream takes new flows.
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -1,6 +1,7 @@
 #include "nutmegturn/steering/agent_flows.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdlib>
 #include <limits>
 #include <map>
@@ -28,6 +29,12 @@
 		/// A flow that both sides have closed is kept this long for late packets.
 		constexpr std::chrono::seconds closed_retention{1};
 
+		/// Weight of one request in the share of failed ones; about the last ten count.
+		constexpr double outcome_weight = 0.1;
+
+		/// Time in which the share of failed requests halves while there are none.
+		constexpr std::chrono::duration<double> failing_half_life{2.0};
+
 		[[nodiscard]] bool is_closed(const agent_flow& flow) noexcept
 		{
 			return flow.caller_finished && flow.upstream_finished;
@@ -73,6 +80,14 @@
 			}
 		}
 
+		/// Notes how a request ended. An upstream can fail part of them while its health check succeeds.
+		void note_outcome(agent_state& state, bool failed, monotonic_time now)
+		{
+			const auto share = failing_share(state, now);
+			state.failing = share + outcome_weight * ((failed ? 1.0 : 0.0) - share);
+			state.failing_at = now;
+		}
+
 		void add_asker(agent_flow& flow, ipv4 balancer)
 		{
 			if (std::ranges::find(flow.askers, balancer) == flow.askers.end())
@@ -257,6 +272,10 @@
 			state.knows_all_flows = false;
 			return decision;
 		}
+		if (flow->at_work && (packet.resets || packet.payload_size > 0))
+		{
+			note_outcome(state, packet.resets, now);
+		}
 		if (packet.resets)
 		{
 			forget_flow(state, id);
@@ -364,6 +383,12 @@
 		return latest;
 	}
 
+	double failing_share(const agent_state& state, monotonic_time now)
+	{
+		const std::chrono::duration<double> age = now - state.failing_at;
+		return state.failing * std::exp2(-age / failing_half_life);
+	}
+
 	load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now)
 	{
 		constexpr std::size_t most = std::numeric_limits<std::uint16_t>::max();
@@ -377,6 +402,8 @@
 		{
 			report.state = intake::ended;
 		}
+		constexpr double percent = 100;
+		report.failing = static_cast<std::uint8_t>(std::lround(percent * failing_share(state, now)));
 		report.cold_left = report.state == intake::cold ? cold_admissions_left(state.gate, known, now) : 0;
 		return report;
 	}
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -10,7 +10,7 @@
 	{
 		/// Layout of the messages. A process drops messages of another layout, so it changes with each incompatible
 		/// one.
-		constexpr std::uint8_t layout = 0x4f;
+		constexpr std::uint8_t layout = 0x50;
 		constexpr std::size_t prefix_size = 18; ///< Magic, kind, configuration version and revision.
 
 		constexpr std::array<std::string_view, 9> intake_names{
@@ -53,7 +53,7 @@
 			}
 		};
 
-		constexpr std::size_t load_size = 11; ///< With the other balancer.
+		constexpr std::size_t load_size = 12; ///< With the other balancer.
 
 		[[nodiscard]] bool comes_from_agent(message_kind kind) noexcept
 		{
@@ -202,6 +202,7 @@
 			to.put(static_cast<std::uint8_t>(it.load.state));
 			to.put(it.load.at_work);
 			to.put(it.load.open_flows);
+			to.put(it.load.failing);
 			to.put(it.load.cold_left);
 			to.put(static_cast<std::uint32_t>(it.other_balancer));
 		}
@@ -258,6 +259,7 @@
 			it.load.state = intake{state};
 			it.load.at_work = in.take<std::uint16_t>();
 			it.load.open_flows = in.take<std::uint16_t>();
+			it.load.failing = in.take<std::uint8_t>();
 			it.load.cold_left = in.take<std::uint16_t>();
 			it.other_balancer = ipv4{in.take<std::uint32_t>()};
 		}
--- a/src/steering/upstream_choice.cpp
+++ b/src/steering/upstream_choice.cpp
@@ -13,6 +13,10 @@
 		/// An upstream in its cold time processes requests more slowly.
 		constexpr double cold_factor = 1.6;
 
+		/// Added to the cost of an upstream that fails all requests, in proportion for one that fails some. It then
+		/// gets work only while the others are several times busier than their slots allow.
+		constexpr double failing_cost = 5.0;
+
 		/// Added to the cost of an upstream that is used only if no other can take the flow.
 		constexpr double last_resort_cost = 1e6;
 
@@ -41,6 +45,8 @@
 			const auto& load = found->second;
 			const double busy = load.report.at_work + load.sent_since + open_flow_weight * load.report.open_flows;
 			cost += busy * (is_cold(it, now) ? cold_factor : 1.0) / std::max(it.entry.slots, 1U);
+			constexpr double percent = 100;
+			cost += failing_cost * load.report.failing / percent;
 			const bool out_of_tokens = load.report.state == intake::cold && load.sent_since >= load.report.cold_left;
 			const bool closed = load.report.state != intake::open && load.report.state != intake::cold;
 			if (closed || out_of_tokens || is_silent(load, now))
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -230,6 +230,26 @@
 			EXPECT_EQ(answer_query(state, std::array{other}).at(0).verdict, possession::not_held);
 		}
 
+		// Guards against new flows to an upstream that resets part of its requests while its health check succeeds.
+		TEST_F(an_agent_with_an_open_flow, reports_the_share_of_requests_that_its_upstream_resets)
+		{
+			open_flow();
+			EXPECT_EQ(make_load_report(state, known, now).failing, 0U);
+			auto reset = reply(0);
+			reset.resets = true;
+			for (std::uint32_t i = 0; i < 20; ++i)
+			{
+				open_flow();
+				packet(message_kind::carry, data(1'000 + i));
+				upstream(reset);
+			}
+			const auto failing = make_load_report(state, known, now).failing;
+			EXPECT_GE(failing, 40U);
+			EXPECT_LE(failing, 60U) << "half of the requests were answered";
+			now += 10s;
+			EXPECT_LE(make_load_report(state, known, now).failing, 2U) << "it has to be tried again";
+		}
+
 		// Guards against a balancer that starts while the store is down and finds nobody to learn from.
 		TEST_F(an_agent_with_an_open_flow, names_another_balancer_to_each)
 		{
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -52,6 +52,23 @@
 			EXPECT_NE(decision.agents[0], instance(4));
 		}
 
+		// Guards against requests at an upstream that resets part of them, and against one that never gets work again.
+		TEST_F(a_balancer_that_opens_a_flow, gives_less_to_an_upstream_that_fails_requests)
+		{
+			auto report = about_flow(message_kind::load);
+			report.load.failing = 40;
+			EXPECT_EQ(take_agent_message(state, known, report, nullptr, instance(1), now).what, action::drop);
+			EXPECT_EQ(packet(opening()).agents, std::vector{instance(2)});
+			report.load.failing = 0;
+			report.load.at_work = 15;
+			for (const std::uint32_t busy : {2U, 3U})
+			{
+				EXPECT_EQ(take_agent_message(state, known, report, nullptr, instance(busy), now).what, action::drop);
+			}
+			state.flows.clear();
+			EXPECT_EQ(packet(opening()).agents, std::vector{instance(1)});
+		}
+
 		// Guards against callers that wait for an upstream which has fallen silent.
 		TEST_F(a_balancer_that_opens_a_flow, sends_a_copy_elsewhere_while_the_first_choice_is_silent)
 		{
--- a/tests/steering_message_test.cpp
+++ b/tests/steering_message_test.cpp
@@ -17,7 +17,7 @@
 		{
 			auto it = about_flow(kind);
 			it.orders_revision = 99;
-			it.load = {.state = intake::cold, .at_work = 3, .open_flows = 7, .cold_left = 2};
+			it.load = {.state = intake::cold, .at_work = 3, .open_flows = 7, .failing = 40, .cold_left = 2};
 			it.other_balancer = instance(9);
 			it.asker = instance(8);
 			it.zone = 5;
@@ -46,6 +46,7 @@
 				EXPECT_EQ(got->asker, kind == message_kind::search ? sent.asker : ipv4{});
 				EXPECT_EQ(got->fresh, kind == message_kind::greeting);
 				EXPECT_EQ(got->load.at_work, kind >= message_kind::held ? 3U : 0U);
+				EXPECT_EQ(got->load.failing, kind >= message_kind::held ? 40U : 0U);
 				EXPECT_EQ(got->other_balancer, kind >= message_kind::held ? instance(9) : ipv4{});
 			}
 		}
