Keep the trial that is due when the next packet of a flow comes

Cause, found while reading the change: a packet of a flow that is being searched cleared the list of agents at which the packet before was to be tried. Those agents had answered and were not asked again, so the caller waited for a retransmission. The newest packet is tried now; only a search that begins anew forgets them.

Before: tries_the_newest_packet fails (no trial).

--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -18,8 +18,8 @@
 		std::vector<ipv4> untried;         ///< Instances that are to get the packet as a trial.
 		std::vector<ipv4> tried;           ///< Instances that got it.
 		std::vector<ipv4> recipients;      ///< Instances that the next query goes to.
-		std::vector<ipv4> unheard;         ///< Needed instances that have said nothing yet.
-		std::vector<ipv4> unanswered;      ///< Those of them whose answer is needed to call the flow gone.
+		std::vector<ipv4> unheard;         ///< Those whose answer is needed and that have said nothing yet.
+		std::vector<ipv4> unanswered;      ///< Those whose answer is still needed to call the flow gone.
 		monotonic_time begun;
 		monotonic_time queried;               ///< When the last query became due.
 		std::optional<monotonic_time> denied; ///< When the last needed answer came and nobody held the flow.
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -404,6 +404,7 @@
 								 {"copy", std::to_string(it.acknowledgement)},
 								 {"agent", to_string(agent)},
 								 {"at_work", std::to_string(load.report.at_work)},
+								 {"failing_percent", std::to_string(load.report.failing)},
 								 {"load_age_ms", reported ? std::to_string(age.count()) : "unknown"},
 								 {"version", std::to_string(node_.known.version)}});
 			}
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -43,12 +43,12 @@
 		auto& it = search.pending[id];
 		it.packet.assign(packet.begin(), packet.end());
 		it.acknowledgement = acknowledgement;
-		it.untried.clear();
 		it.tried.clear();
 		if (!repeat)
 		{
 			return false;
 		}
+		it.untried.clear();
 		it.recipients = asked;
 		it.asked = std::move(asked);
 		it.unheard = needed;
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -378,6 +378,19 @@
 			EXPECT_TRUE(take_trials(search).empty());
 		}
 
+		// Guards against callers that wait for a retransmission because the trial that was due was forgotten when the
+		// next packet of the flow came.
+		TEST_F(a_search_for_a_holder, tries_the_newest_packet)
+		{
+			begin();
+			answered(2, possession::unsure);
+			bytes.push_back(std::byte{3});
+			EXPECT_FALSE(begin());
+			const auto trials = take_trials(search);
+			ASSERT_EQ(trials.size(), 1U);
+			EXPECT_EQ(trials[0].packet, bytes);
+		}
+
 		// Guards against a storm after a kill of all processes: agents that cannot know were asked again before their
 		// upstreams had answered the trial, and each time the packet went to all of them; links of 11 Mbit/s choked.
 		TEST_F(a_search_for_a_holder, does_not_ask_those_again_that_try_the_packet)
