End the search for a flow's holder although upstreams are added

Cause: confirm_denied replaced the queried instances of a denied search by those that had been added since. The next check found the first ones unqueried and queried them again, every 25 ms and for all denied flows at once.

Change: the queried instances accumulate, so each is queried in one round only. A search has at most 8 rounds; one that needs more expires, and search_expired names the rounds.

Both new tests failed before the change (the first) or need the new bound (the second).

--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -13,10 +13,11 @@
 	struct pending_search
 	{
 		std::vector<std::byte> packet;
-		std::uint32_t acknowledgement = 0;  ///< The caller's newest; a reset needs a sequence number near it.
-		std::vector<ipv4> candidates;       ///< Instances that may hold the flow.
-		std::vector<ipv4> probe_targets;    ///< Instances that the packet is still to be sent to as a probe.
-		std::vector<ipv4> probed;           ///< Instances that were sent the packet as a probe.
+		std::uint32_t acknowledgement = 0; ///< The caller's newest; a reset needs a sequence number near it.
+		std::vector<ipv4> candidates;      ///< Instances that were queried; they may hold the flow.
+		std::uint32_t rounds = 1;          ///< Rounds of queries; each includes instances that were not queried before.
+		std::vector<ipv4> probe_targets;   ///< Instances that the packet is still to be sent to as a probe.
+		std::vector<ipv4> probed;          ///< Instances that were sent the packet as a probe.
 		std::vector<ipv4> query_recipients; ///< Recipients of the next query.
 		std::vector<ipv4> unresponsive;     ///< Required instances that have not answered at all.
 		std::vector<ipv4> awaiting_denial;  ///< Required instances that have not denied the flow.
@@ -46,6 +47,10 @@
 	/// Age from which the flow's next packet restarts a search, and interval at which queries are repeated.
 	inline constexpr milliseconds search_timeout{150};
 
+	/// Largest number of rounds of queries in one search. Upstreams that register one after the other during a search
+	/// each start a round; a search that needs more of them expires, and the flow's next packet starts another one.
+	inline constexpr std::uint32_t max_search_rounds = 8;
+
 	/// Next action of a search.
 	struct search_step
 	{
@@ -111,7 +116,11 @@
 	/// Returns the flows that all required instances have denied.
 	[[nodiscard]] std::vector<flow_id> denied_flows(const holder_search& search);
 
-	/// Decides about a denied flow: queries required instances that are no candidates yet, or resets the flow.
+	/// Decides about a denied flow: queries required instances that were not queried yet, or resets the flow. Since a
+	/// search queries each instance in one round only, it ends.
+	///
+	/// Load pattern: after a power loss upstreams register one after the other while all callers continue flows that no
+	/// upstream holds, so every search meets upstreams that were added after its first round.
 	/// \param required	Instances that must deny the flow according to the current catalog.
 	/// \param current	Whether the catalog has been up to date at or after the last denial.
 	[[nodiscard]] search_step confirm_denied(holder_search& search, const flow_id& id,
@@ -122,6 +131,7 @@
 	{
 		flow_id flow;
 		std::vector<ipv4> unanswered; ///< Required instances that did not deny the flow.
+		std::uint32_t rounds = 0;     ///< Rounds of queries.
 	};
 
 	/// Removes searches that timed out.
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -435,6 +435,7 @@
 					{{"flow", fmt::format("{}>{}", to_string(search.flow.caller), to_string(search.flow.route))},
 					 {"unanswered", std::to_string(search.unanswered.size())},
 					 {"first_unanswered", first},
+					 {"rounds", std::to_string(search.rounds)},
 					 {"catalog_complete", node_.upstreams_complete() ? "yes" : "no"},
 					 {"version", std::to_string(node_.catalog.version)}});
 			}
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -24,6 +24,20 @@
 			search.pending.erase(id);
 			return step;
 		}
+
+		/// Queues a query to the search's recipients.
+		/// \param required	Instances whose denial this round waits for.
+		void start_round(holder_search& search, const flow_id& id, pending_search& pending, std::vector<ipv4> required,
+						 monotonic_time now)
+		{
+			pending.unresponsive = required;
+			pending.awaiting_denial = std::move(required);
+			pending.started_at = now;
+			pending.last_query_at = now;
+			pending.denied_at.reset();
+			++pending.rounds;
+			search.unsent_queries.push_back(id);
+		}
 	}
 
 	bool search_table_full(const holder_search& search, const flow_id& id)
@@ -54,12 +68,8 @@
 		pending.probe_targets.clear();
 		pending.query_recipients = candidates;
 		pending.candidates = std::move(candidates);
-		pending.unresponsive = required;
-		pending.awaiting_denial = std::move(required);
-		pending.started_at = now;
-		pending.last_query_at = now;
-		pending.denied_at.reset();
-		search.unsent_queries.push_back(id);
+		pending.rounds = 0;
+		start_round(search, id, pending, std::move(required), now);
 		return true;
 	}
 
@@ -190,16 +200,16 @@
 		std::ranges::copy_if(required, std::back_inserter(unasked),
 							 [&pending](ipv4 instance)
 							 { return std::ranges::find(pending.candidates, instance) == pending.candidates.end(); });
+		if (!unasked.empty() && pending.rounds >= max_search_rounds)
+		{
+			pending.denied_at.reset();
+			return {};
+		}
 		if (!unasked.empty())
 		{
-			pending.candidates = unasked;
+			pending.candidates.insert(pending.candidates.end(), unasked.begin(), unasked.end());
 			pending.query_recipients = unasked;
-			pending.unresponsive = unasked;
-			pending.awaiting_denial = std::move(unasked);
-			pending.started_at = now;
-			pending.last_query_at = now;
-			pending.denied_at.reset();
-			search.unsent_queries.push_back(id);
+			start_round(search, id, pending, std::move(unasked), now);
 			return {};
 		}
 		return current ? end_search(search, id, search_step::action::reset) : search_step{};
@@ -215,7 +225,8 @@
 				++it;
 				continue;
 			}
-			expired.push_back({.flow = it->first, .unanswered = std::move(it->second.awaiting_denial)});
+			expired.push_back(
+				{.flow = it->first, .unanswered = std::move(it->second.awaiting_denial), .rounds = it->second.rounds});
 			it = search.pending.erase(it);
 		}
 		return expired;
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -461,6 +461,54 @@
 			EXPECT_EQ(answer(4, flow_presence::held).what, step::deliver);
 		}
 
+		// Guards against searches that never end. After a power loss the upstreams registered one group after the
+		// other; each group was queried in place of the previous one, which was then queried again every 25 ms for each
+		// flow.
+		TEST_F(steering_holder_search, queries_each_upstream_once_while_groups_are_added)
+		{
+			begin();
+			answer(1, flow_presence::not_held);
+			answer(2, flow_presence::not_held);
+			EXPECT_EQ(take_queries(search).size(), 3U);
+			const std::vector first_group{instance(1), instance(2), instance(4)};
+			const std::vector both_groups{instance(1), instance(2), instance(4), instance(5)};
+			EXPECT_EQ(confirm(first_group).what, step::none);
+			EXPECT_EQ(take_queries(search).size(), 1U);
+			answer(4, flow_presence::not_held);
+			EXPECT_EQ(confirm(both_groups).what, step::none);
+			const auto queries = take_queries(search);
+			ASSERT_EQ(queries.size(), 1U);
+			EXPECT_TRUE(queries.contains(instance(5)));
+			answer(5, flow_presence::not_held);
+			EXPECT_EQ(confirm(both_groups).what, step::reset);
+			EXPECT_TRUE(take_queries(search).empty());
+		}
+
+		// Guards against a search without end while upstreams are replaced all the time.
+		TEST_F(steering_holder_search, gives_up_after_largest_number_of_rounds)
+		{
+			begin();
+			std::vector required{instance(1), instance(2)};
+			answer(1, flow_presence::not_held);
+			answer(2, flow_presence::not_held);
+			for (std::uint32_t round = 1; round < max_search_rounds; ++round)
+			{
+				const auto number = 10 + round;
+				required.push_back(instance(number));
+				EXPECT_EQ(confirm(required).what, step::none);
+				answer(number, flow_presence::not_held);
+			}
+			required.push_back(instance(99));
+			take_queries(search);
+			EXPECT_EQ(confirm(required).what, step::none);
+			EXPECT_TRUE(take_queries(search).empty());
+			EXPECT_TRUE(denied_flows(search).empty()) << "no further check is due";
+			now += 3s;
+			const auto expired = expire_searches(search, now);
+			ASSERT_EQ(expired.size(), 1U);
+			EXPECT_EQ(expired[0].rounds, max_search_rounds);
+		}
+
 		// Guards against a request that waits 200 ms for its retransmission. The holder was announced by another
 		// message during the search, and the packet that the search kept was dropped.
 		TEST_F(steering_holder_search, delivers_packet_to_announced_holder)
