Keep all packets of a request while its flow's holder is searched

Cause: a search kept the caller's newest packet only. A request with a body has two packets or more, so after a restart of balancers or agents the head of every such request was lost and retransmitted 200 ms later: beyond the latency target of 200 ms.

Change: a search keeps up to four packets, in order and without retransmitted copies, and delivers all that the holder did not get as a probe.

The three new tests need the new behaviour; the first fails on the former code, which kept one packet.

--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -9,15 +9,22 @@
 
 namespace nutmegturn::steering
 {
-	/// Search for the holder of one flow, with the caller's newest packet.
+	/// Packet of a caller that waits for the result of a search.
+	struct waiting_packet
+	{
+		std::vector<std::byte> bytes;
+		bool probed = false; ///< It was sent to the instances in `pending_search::probed`.
+	};
+
+	/// Search for the holder of one flow, with the caller's packets.
 	struct pending_search
 	{
-		std::vector<std::byte> packet;
-		std::uint32_t acknowledgement = 0; ///< The caller's newest; a reset needs a sequence number near it.
-		std::vector<ipv4> candidates;      ///< Instances that were queried; they may hold the flow.
-		std::uint32_t rounds = 1;          ///< Rounds of queries; each includes instances that were not queried before.
-		std::vector<ipv4> probe_targets;   ///< Instances that the packet is still to be sent to as a probe.
-		std::vector<ipv4> probed;          ///< Instances that were sent the packet as a probe.
+		std::vector<waiting_packet> packets; ///< In order of arrival, at most `max_search_packets`.
+		std::uint32_t acknowledgement = 0;   ///< The caller's newest; a reset needs a sequence number near it.
+		std::vector<ipv4> candidates;        ///< Instances that were queried; they may hold the flow.
+		std::uint32_t rounds = 1;        ///< Rounds of queries; each includes instances that were not queried before.
+		std::vector<ipv4> probe_targets; ///< Instances that the packet is still to be sent to as a probe.
+		std::vector<ipv4> probed;        ///< Instances that were sent the packet as a probe.
 		std::vector<ipv4> query_recipients; ///< Recipients of the next query.
 		std::vector<ipv4> unresponsive;     ///< Required instances that have not answered at all.
 		std::vector<ipv4> awaiting_denial;  ///< Required instances that have not denied the flow.
@@ -41,6 +48,10 @@
 	/// Largest number of concurrent searches; packets that need another one are dropped.
 	inline constexpr std::size_t max_searches = 1'024;
 
+	/// Largest number of packets that wait for one search; the oldest is dropped for another one. A request with a
+	/// body of a few kilobytes fits.
+	inline constexpr std::size_t max_search_packets = 4;
+
 	/// Time for which queries are batched.
 	inline constexpr milliseconds query_delay{10};
 
@@ -57,21 +68,21 @@
 		enum class action : std::uint8_t
 		{
 			none,
-			deliver, ///< The agent's upstream holds the flow: forward the packet to it.
+			deliver, ///< The agent's upstream holds the flow: forward the packets to it.
 			probe,   ///< The agent cannot tell whether its upstream holds the flow: send the packet as a probe.
 			reset    ///< No upstream holds the flow: send a reset to the caller.
 		};
 
 		action what = action::none;
 		flow_id flow;
-		std::vector<std::byte> packet;
+		std::vector<std::vector<std::byte>> packets; ///< `deliver`: packets to forward, in order of arrival.
 		std::uint32_t acknowledgement = 0;
 	};
 
 	/// Returns whether a packet of this flow must be dropped because its search cannot be added.
 	[[nodiscard]] bool search_table_full(const holder_search& search, const flow_id& id);
 
-	/// Starts the search for a flow, or updates the packet of a running one.
+	/// Starts the search for a flow, or adds a packet to a running one.
 	/// \param candidates	Instances that may hold the flow.
 	/// \param required		Instances that must deny the flow before it is declared lost.
 	/// \returns			Whether a query has to be sent.
@@ -110,7 +121,9 @@
 	[[nodiscard]] std::vector<holder_probe> take_probes(holder_search& search);
 
 	/// Ends the search for a flow whose holder became known by another message.
-	/// \returns	`deliver`, or `none` if there is no such search or the holder already got the packet as a probe.
+	/// \returns	`deliver` with the packets that the holder did not get as a probe; `none` if there are none, or if
+	/// there
+	///				is no such search.
 	[[nodiscard]] search_step finish_search(holder_search& search, const flow_id& id, ipv4 agent);
 
 	/// Returns the flows that all required instances have denied.
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -240,7 +240,10 @@
 						break;
 					case search_step::action::deliver:
 						note_holder(state_, step.flow, agent, node_.loop.now());
-						send_packet(agent, message_kind::flow_packet, step.packet);
+						for (const auto& packet : step.packets)
+						{
+							send_packet(agent, message_kind::flow_packet, packet);
+						}
 						break;
 					case search_step::action::probe:
 						schedule_probes();
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -17,14 +17,30 @@
 		[[nodiscard]] search_step end_search(holder_search& search, const flow_id& id, search_step::action what)
 		{
 			auto& pending = search.pending.at(id);
-			search_step step{.what = what,
-							 .flow = id,
-							 .packet = std::move(pending.packet),
-							 .acknowledgement = pending.acknowledgement};
+			search_step step{.what = what, .flow = id, .packets = {}, .acknowledgement = pending.acknowledgement};
+			for (auto& it : pending.packets)
+			{
+				step.packets.push_back(std::move(it.bytes));
+			}
 			search.pending.erase(id);
 			return step;
 		}
 
+		/// Adds a packet unless it is a retransmission of one that waits already.
+		void add_packet(pending_search& pending, std::span<const std::byte> packet)
+		{
+			if (std::ranges::any_of(pending.packets,
+									[packet](const auto& it) { return std::ranges::equal(it.bytes, packet); }))
+			{
+				return;
+			}
+			if (pending.packets.size() >= max_search_packets)
+			{
+				pending.packets.erase(pending.packets.begin());
+			}
+			pending.packets.push_back({.bytes = {packet.begin(), packet.end()}, .probed = false});
+		}
+
 		/// Queues a query to the search's recipients.
 		/// \param required	Instances whose denial this round waits for.
 		void start_round(holder_search& search, const flow_id& id, pending_search& pending, std::vector<ipv4> required,
@@ -58,13 +74,17 @@
 		const bool restart =
 			found == search.pending.end() || (!denied && now - found->second.started_at >= search_timeout);
 		auto& pending = search.pending[id];
-		pending.packet.assign(packet.begin(), packet.end());
+		add_packet(pending, packet);
 		pending.acknowledgement = acknowledgement;
-		pending.probed.clear();
 		if (!restart)
 		{
 			return false;
 		}
+		for (auto& it : pending.packets)
+		{
+			it.probed = false;
+		}
+		pending.probed.clear();
 		pending.probe_targets.clear();
 		pending.query_recipients = candidates;
 		pending.candidates = std::move(candidates);
@@ -127,7 +147,7 @@
 				found->second.probe_targets.push_back(agent);
 				return {.what = search_step::action::probe,
 						.flow = answer.flow,
-						.packet = {},
+						.packets = {},
 						.acknowledgement = found->second.acknowledgement};
 			case flow_presence::not_held:
 				break;
@@ -159,8 +179,9 @@
 				const auto relay_candidates = std::min(chunk.size(), probe_relay_count);
 				probes.push_back({.relay = chunk[hash_flow(id) % relay_candidates],
 								  .agents = {chunk.begin(), chunk.end()},
-								  .packet = pending.packet});
+								  .packet = pending.packets.back().bytes});
 			}
+			pending.packets.back().probed = true;
 			pending.probed.insert(pending.probed.end(), pending.probe_targets.begin(), pending.probe_targets.end());
 			pending.probe_targets.clear();
 		}
@@ -174,9 +195,12 @@
 		{
 			return {};
 		}
-		const bool delivered = std::ranges::find(found->second.probed, agent) != found->second.probed.end();
-		auto step = end_search(search, id, search_step::action::deliver);
-		return delivered ? search_step{} : step;
+		if (std::ranges::find(found->second.probed, agent) != found->second.probed.end())
+		{
+			std::erase_if(found->second.packets, [](const auto& it) { return it.probed; });
+		}
+		const auto what = found->second.packets.empty() ? search_step::action::none : search_step::action::deliver;
+		return end_search(search, id, what);
 	}
 
 	std::vector<flow_id> denied_flows(const holder_search& search)
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -293,6 +293,7 @@
 		{
 		protected:
 			using step = search_step::action;
+			using packet_list = std::vector<std::vector<std::byte>>;
 
 			holder_search search;
 			std::vector<std::byte> bytes{std::byte{1}, std::byte{2}};
@@ -411,7 +412,7 @@
 			begin();
 			const auto found = answer(2, flow_presence::held);
 			EXPECT_EQ(found.what, step::deliver);
-			EXPECT_EQ(found.packet, bytes);
+			EXPECT_EQ(found.packets, packet_list{bytes});
 			EXPECT_EQ(answer(1, flow_presence::held).what, step::none);
 		}
 
@@ -516,10 +517,55 @@
 			begin();
 			const auto found = finish_search(search, flow, instance(2));
 			EXPECT_EQ(found.what, step::deliver);
-			EXPECT_EQ(found.packet, bytes);
+			EXPECT_EQ(found.packets, packet_list{bytes});
 			EXPECT_FALSE(search.pending.contains(flow));
 		}
 
+		// Guards against a request that waits 200 ms for its retransmission. A request with a body has two packets, and
+		// the search kept only the second, so every such request after a restart of all processes was late.
+		TEST_F(steering_holder_search, delivers_all_packets_of_a_request_in_order)
+		{
+			const std::vector head{std::byte{1}};
+			const std::vector body{std::byte{2}};
+			bytes = head;
+			begin();
+			bytes = body;
+			begin();
+			bytes = head;
+			begin();
+			const auto found = answer(2, flow_presence::held);
+			EXPECT_EQ(found.what, step::deliver);
+			EXPECT_EQ(found.packets, (packet_list{head, body})) << "a retransmission is not kept twice";
+		}
+
+		// Guards against the same delay when a probe with the newest packet found the holder.
+		TEST_F(steering_holder_search, delivers_packets_that_were_not_probed)
+		{
+			const std::vector head{std::byte{1}};
+			bytes = head;
+			begin();
+			bytes = {std::byte{2}};
+			begin();
+			answer(2, flow_presence::unknown);
+			ASSERT_EQ(take_probes(search).size(), 1U);
+			const auto found = finish_search(search, flow, instance(2));
+			EXPECT_EQ(found.what, step::deliver);
+			EXPECT_EQ(found.packets, packet_list{head});
+		}
+
+		// Guards against unbounded memory while a caller sends into a search that does not end.
+		TEST_F(steering_holder_search, keeps_bounded_number_of_packets)
+		{
+			for (std::uint8_t i = 0; i < 2 * max_search_packets; ++i)
+			{
+				bytes = {std::byte{i}};
+				begin();
+			}
+			const auto found = answer(2, flow_presence::held);
+			ASSERT_EQ(found.packets.size(), max_search_packets);
+			EXPECT_EQ(found.packets.back(), bytes) << "the newest packet is kept";
+		}
+
 		// Guards against a packet that is delivered twice.
 		TEST_F(steering_holder_search, does_not_deliver_packet_again_after_probe)
 		{
