Reset flows that no upstream holds sooner

Cause: after a power loss each request on a former flow waits for the search, then its caller waits about 50 ms and opens another flow; with a cold upstream the sum is close to the latency target of 150 ms. The search took 14 ms, of which 10 ms were the delay for batches, and 40 ms and more while the balancer paused between calls to the store: denied flows were looked at again only every 25 ms, and a watch had to be pending for 40 ms.

Change: a query that follows a pause is sent at once, and only further ones within 10 ms are batched; an answer of the store starts the check of denied flows; a watch without changes counts as quiet after 20 ms, five times the store's usual response time.

--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -52,8 +52,8 @@
 	/// body of a few kilobytes fits.
 	inline constexpr std::size_t max_search_packets = 4;
 
-	/// Time for which queries are batched.
-	inline constexpr milliseconds query_delay{10};
+	/// Shortest time between two batches of queries. A query that follows a pause is sent at once.
+	inline constexpr milliseconds query_interval{10};
 
 	/// Age from which the flow's next packet restarts a search, and interval at which queries are repeated.
 	inline constexpr milliseconds search_timeout{150};
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -30,8 +30,9 @@
 		constexpr std::size_t batch_size = 64;
 		constexpr std::size_t datagram_size = 2'048;
 
-		/// Delay before denied flows are checked, in which the store answers a call that reads pending changes.
-		constexpr auto denial_check_delay = 25ms;
+		/// Interval of checks of denied flows while it is unknown whether the catalog is up to date. An answer of the
+		/// store starts a check at once.
+		constexpr auto denial_check_interval = 10ms;
 
 		/// Interval of checks whether the catalog has been read.
 		constexpr auto catalog_check_interval = 20ms;
@@ -63,6 +64,7 @@
 			{
 				state_.zone = settings.zone;
 				state_.started = node_.loop.now();
+				node_.upstreams_reader.set_answer_handler([this] { on_store_answer(); });
 			}
 
 			/// Opens the sockets.
@@ -194,7 +196,7 @@
 			/// the changes that are pending in the store during a pause between calls.
 			void handle_denied_flows()
 			{
-				if (denial_check_scheduled_ || denied_flows(search_).empty())
+				if (denial_check_timer_ != 0 || denied_flows(search_).empty())
 				{
 					return;
 				}
@@ -206,17 +208,25 @@
 				schedule_denial_check();
 			}
 
+			void on_store_answer()
+			{
+				if (denial_check_timer_ != 0)
+				{
+					check_denied_flows();
+				}
+			}
+
 			void schedule_denial_check()
 			{
-				denial_check_scheduled_ = true;
 				node_.upstreams_reader.refresh();
-				node_.loop.call_at(node_.loop.now() + denial_check_delay, [this] { check_denied_flows(); });
+				denial_check_timer_ =
+					node_.loop.call_at(node_.loop.now() + denial_check_interval, [this] { check_denied_flows(); });
 			}
 
 			void check_denied_flows()
 			{
 				const auto now = node_.loop.now();
-				denial_check_scheduled_ = false;
+				node_.loop.cancel(std::exchange(denial_check_timer_, 0));
 				for (const auto& id : denied_flows(search_))
 				{
 					const auto denied = *search_.pending.at(id).denied_at;
@@ -322,7 +332,8 @@
 												  decision.agents, decision.required, now);
 				if (started && is_first)
 				{
-					node_.loop.call_at(now + steering::query_delay, [this] { send_queries(); });
+					node_.loop.call_at(std::max(now, last_queries_ + steering::query_interval),
+									   [this] { send_queries(); });
 				}
 				schedule_repeat();
 			}
@@ -368,6 +379,7 @@
 
 			void send_queries()
 			{
+				last_queries_ = node_.loop.now();
 				std::array<std::byte, steering::max_flows_per_message * steering::encoded_flow_size> encoded{};
 				for (const auto& [agent, flows] : take_queries(search_))
 				{
@@ -528,7 +540,8 @@
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_peers_;
 			std::optional<monotonic_time> first_subscribe_; ///< Time of the first `subscribe` messages to the agents.
-			bool denial_check_scheduled_ = false;
+			std::uint64_t denial_check_timer_ = 0;          ///< Timer of the next check; 0 if none is due.
+			monotonic_time last_queries_;                   ///< When queries were sent last.
 			bool repeat_scheduled_ = false;
 			bool probes_scheduled_ = false;
 			bool stopping_ = false;
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -10,7 +10,7 @@
 	{
 		/// A watch that has been pending for this long has no changes to report: several times the usual response time
 		/// of the store.
-		constexpr std::chrono::milliseconds watch_quiet{40};
+		constexpr std::chrono::milliseconds watch_quiet{20};
 	}
 
 	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& catalog, const endpoint& store,
@@ -24,6 +24,11 @@
 		watch_scope_selector_ = std::move(selector);
 	}
 
+	void store_reader::set_answer_handler(std::function<void()> handler)
+	{
+		answer_handler_ = std::move(handler);
+	}
+
 	void store_reader::set_store(const endpoint& store)
 	{
 		const bool calling = calls_ > 0 && call_timer_ == 0;
@@ -109,6 +114,10 @@
 		}
 		update_watch_scope();
 		call_when_due();
+		if (answer_handler_)
+		{
+			answer_handler_();
+		}
 	}
 
 	void store_reader::update_watch_scope()
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -30,6 +30,9 @@
 			follower_.coalescing_delay = steering::agent_coalescing_delay;
 		}
 
+		/// Sets a function that is called after each complete answer of the store has been applied.
+		void set_answer_handler(std::function<void()> handler);
+
 		/// Switches to another address of the store; a call in progress is repeated there.
 		void set_store(const endpoint& store);
 
@@ -79,6 +82,7 @@
 		steering::record_group group_;
 		http_connection connection_;
 		std::function<steering::watch_scope()> watch_scope_selector_;
+		std::function<void()> answer_handler_;
 		std::string only_key_; ///< Key that is watched; empty for the whole group.
 		steering::store_follower follower_;
 		random_source random_;
