Probe flows in the balancer's zone first

Cause: after a restart of all processes agents cannot tell which flows their upstreams hold, and the first packet of every flow is sent to every upstream as a probe, although most flows were placed in their caller's zone.

Change: upstreams in the balancer's own zone are probed first, the others 15 ms later if the search still lasts, with the same packet, so that the holder is known to have it.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -103,6 +103,9 @@
 	/// Returns whether an upstream accepts new flows according to the store.
 	[[nodiscard]] bool accepts_new_flows(const catalog& known, const known_upstream& upstream, monotonic_time now);
 
+	/// Returns the instances of the upstreams in an availability zone, including upstreams that left the store.
+	[[nodiscard]] std::vector<ipv4> instances_in_zone(const catalog& known, std::string_view zone);
+
 	/// Returns whether an upstream is in cold start according to the store and takes only part of its full load.
 	[[nodiscard]] bool is_cold(const known_upstream& upstream, monotonic_time now) noexcept;
 
--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -33,6 +33,13 @@
 		std::optional<monotonic_time> denied_at; ///< When the last required instance denied the flow.
 	};
 
+	/// Flow that is probed in other zones if its holder is not found in this balancer's zone.
+	struct far_probe
+	{
+		flow_id flow;
+		monotonic_time due;
+	};
+
 	/// Searches for the holders of flows that are missing in this balancer's flow table.
 	///
 	/// Load pattern: after a power loss or a restart of many processes, all callers continue flows that no process
@@ -43,6 +50,7 @@
 		std::unordered_map<flow_id, pending_search, flow_id_hash> pending;
 		std::vector<flow_id> unsent_queries; ///< Flows whose queries have not been sent.
 		std::vector<flow_id> unsent_probes;  ///< Flows whose probes have not been sent.
+		std::vector<far_probe> far_probes;   ///< Flows that were probed in this balancer's zone only, oldest first.
 	};
 
 	/// Largest number of concurrent searches; packets that need another one are dropped.
@@ -114,11 +122,22 @@
 	/// Time for which answers are collected before probes are sent.
 	inline constexpr milliseconds probe_delay{5};
 
-	/// Removes and returns the probes to send.
+	/// Time for which an answer from this balancer's zone is awaited before upstreams in other zones are probed.
+	inline constexpr milliseconds far_probe_delay{15};
+
+	/// Removes and returns the probes to send. A flow is probed at the instances in `near` first, if any of them is to
+	/// be probed, since most flows are placed in their caller's zone and bandwidth between zones is scarce. The flow is
+	/// then added to `far_probes`.
 	///
 	/// Load pattern: after all agents restart while their upstreams keep running, each flow has to be probed at all of
 	/// them. A small balancer with a link of 11 Mbit/s cannot send every packet to 53 instances, but an agent can.
-	[[nodiscard]] std::vector<holder_probe> take_probes(holder_search& search);
+	///
+	/// \param near	Instances in this balancer's zone; empty to probe everywhere at once.
+	[[nodiscard]] std::vector<holder_probe> take_probes(holder_search& search, std::span<const ipv4> near,
+														monotonic_time now);
+
+	/// Removes and returns the due probes to other zones, for searches that did not end in this balancer's zone.
+	[[nodiscard]] std::vector<holder_probe> take_far_probes(holder_search& search, monotonic_time now);
 
 	/// Ends the search for a flow whose holder became known by another message.
 	/// \returns	`deliver` with the packets that the holder did not get as a probe; `none` if there are none, or if
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -350,13 +350,36 @@
 			void send_probes()
 			{
 				probes_scheduled_ = false;
-				for (const auto& probe : take_probes(search_))
+				send_probes(
+					take_probes(search_, instances_in_zone(node_.catalog, node_.settings.zone), node_.loop.now()));
+				schedule_far_probes();
+			}
+
+			void send_probes(const std::vector<steering::holder_probe>& probes)
+			{
+				for (const auto& probe : probes)
 				{
 					send_packet(probe.relay, message_kind::probe_relay,
 								steering::encode_probe_relay(probe.agents, probe.packet));
 				}
 			}
 
+			void schedule_far_probes()
+			{
+				if (!far_probes_scheduled_ && !search_.far_probes.empty())
+				{
+					far_probes_scheduled_ = true;
+					node_.loop.call_at(search_.far_probes.front().due, [this] { send_far_probes(); });
+				}
+			}
+
+			void send_far_probes()
+			{
+				far_probes_scheduled_ = false;
+				send_probes(take_far_probes(search_, node_.loop.now()));
+				schedule_far_probes();
+			}
+
 			void schedule_repeat()
 			{
 				if (repeat_scheduled_ || search_.pending.empty())
@@ -544,6 +567,7 @@
 			monotonic_time last_queries_;                   ///< When queries were sent last.
 			bool repeat_scheduled_ = false;
 			bool probes_scheduled_ = false;
+			bool far_probes_scheduled_ = false;
 			bool stopping_ = false;
 			monotonic_time stop_requested_;
 			monotonic_time last_caller_packet_;
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -227,6 +227,19 @@
 			   !known.evacuations.contains(upstream.entry.zone);
 	}
 
+	std::vector<ipv4> instances_in_zone(const catalog& known, std::string_view zone)
+	{
+		std::vector<ipv4> instances;
+		for (const auto& [key, it] : known.upstreams)
+		{
+			if (it.entry.zone == zone)
+			{
+				instances.push_back(it.entry.address.ip);
+			}
+		}
+		return instances;
+	}
+
 	bool is_cold(const known_upstream& upstream, monotonic_time now) noexcept
 	{
 		return now < upstream.changed_at + upstream.entry.cold_remaining;
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -54,6 +54,32 @@
 			++pending.rounds;
 			search.unsent_queries.push_back(id);
 		}
+
+		/// Returns the packet to probe with: always the same one, so that the holder is known to have it.
+		[[nodiscard]] waiting_packet& packet_to_probe(pending_search& pending)
+		{
+			const auto probed = std::ranges::find_if(pending.packets, &waiting_packet::probed);
+			return probed == pending.packets.end() ? pending.packets.back() : *probed;
+		}
+
+		/// Adds the probes of a flow to all its probe targets.
+		void add_probes(std::vector<holder_probe>& probes, const flow_id& id, pending_search& pending)
+		{
+			auto& packet = packet_to_probe(pending);
+			for (std::span<const ipv4> remaining = pending.probe_targets; !remaining.empty();)
+			{
+				const auto chunk = remaining.first(std::min(remaining.size(), max_probe_targets));
+				remaining = remaining.subspan(chunk.size());
+				// The agents that answer first are the nearest; flows are spread over some of them.
+				const auto relay_candidates = std::min(chunk.size(), probe_relay_count);
+				probes.push_back({.relay = chunk[hash_flow(id) % relay_candidates],
+								  .agents = {chunk.begin(), chunk.end()},
+								  .packet = packet.bytes});
+			}
+			packet.probed = true;
+			pending.probed.insert(pending.probed.end(), pending.probe_targets.begin(), pending.probe_targets.end());
+			pending.probe_targets.clear();
+		}
 	}
 
 	bool search_table_full(const holder_search& search, const flow_id& id)
@@ -160,8 +186,9 @@
 		return {};
 	}
 
-	std::vector<holder_probe> take_probes(holder_search& search)
+	std::vector<holder_probe> take_probes(holder_search& search, std::span<const ipv4> near, monotonic_time now)
 	{
+		const auto is_near = [near](ipv4 agent) { return std::ranges::find(near, agent) != near.end(); };
 		std::vector<holder_probe> probes;
 		for (const auto& id : std::exchange(search.unsent_probes, {}))
 		{
@@ -170,21 +197,37 @@
 			{
 				continue;
 			}
-			auto& pending = found->second;
-			for (std::span<const ipv4> remaining = pending.probe_targets; !remaining.empty();)
+			auto& targets = found->second.probe_targets;
+			const auto first_far = std::stable_partition(targets.begin(), targets.end(), is_near);
+			std::vector<ipv4> far;
+			if (first_far != targets.begin())
 			{
-				const auto chunk = remaining.first(std::min(remaining.size(), max_probe_targets));
-				remaining = remaining.subspan(chunk.size());
-				// The agents that answer first are the nearest; flows are spread over some of them.
-				const auto relay_candidates = std::min(chunk.size(), probe_relay_count);
-				probes.push_back({.relay = chunk[hash_flow(id) % relay_candidates],
-								  .agents = {chunk.begin(), chunk.end()},
-								  .packet = pending.packets.back().bytes});
+				far.assign(first_far, targets.end());
+				targets.erase(first_far, targets.end());
+			}
+			add_probes(probes, id, found->second);
+			if (!far.empty())
+			{
+				targets = std::move(far);
+				search.far_probes.push_back({.flow = id, .due = now + far_probe_delay});
+			}
+		}
+		return probes;
+	}
+
+	std::vector<holder_probe> take_far_probes(holder_search& search, monotonic_time now)
+	{
+		const auto first_early =
+			std::ranges::find_if(search.far_probes, [now](const auto& it) { return it.due > now; });
+		std::vector<holder_probe> probes;
+		for (auto it = search.far_probes.begin(); it != first_early; ++it)
+		{
+			if (const auto found = search.pending.find(it->flow); found != search.pending.end())
+			{
+				add_probes(probes, it->flow, found->second);
 			}
-			pending.packets.back().probed = true;
-			pending.probed.insert(pending.probed.end(), pending.probe_targets.begin(), pending.probe_targets.end());
-			pending.probe_targets.clear();
 		}
+		search.far_probes.erase(search.far_probes.begin(), first_early);
 		return probes;
 	}
 
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -373,11 +373,11 @@
 			answer(1, flow_presence::unknown);
 			answer(2, flow_presence::unknown);
 			answer(3, flow_presence::unknown);
-			const auto probes = take_probes(search);
+			const auto probes = take_probes(search, {}, now);
 			ASSERT_EQ(probes.size(), 1U);
 			EXPECT_EQ(probes[0].agents, (std::vector{instance(1), instance(2), instance(3)}));
 			EXPECT_EQ(std::ranges::count(probes[0].agents, probes[0].relay), 1);
-			EXPECT_TRUE(take_probes(search).empty());
+			EXPECT_TRUE(take_probes(search, {}, now).empty());
 		}
 
 		// Guards against callers that wait for a retransmission because the flow's next packet discarded a pending
@@ -388,7 +388,7 @@
 			answer(2, flow_presence::unknown);
 			bytes.push_back(std::byte{3});
 			EXPECT_FALSE(begin());
-			const auto probes = take_probes(search);
+			const auto probes = take_probes(search, {}, now);
 			ASSERT_EQ(probes.size(), 1U);
 			EXPECT_EQ(probes[0].packet, bytes);
 		}
@@ -436,7 +436,7 @@
 			begin();
 			answer(1, flow_presence::not_held);
 			EXPECT_EQ(answer(2, flow_presence::unknown).what, step::probe);
-			const auto probes = take_probes(search);
+			const auto probes = take_probes(search, {}, now);
 			ASSERT_EQ(probes.size(), 1U);
 			EXPECT_EQ(probes[0].relay, instance(2));
 			EXPECT_EQ(probes[0].packet, bytes);
@@ -547,7 +547,7 @@
 			bytes = {std::byte{2}};
 			begin();
 			answer(2, flow_presence::unknown);
-			ASSERT_EQ(take_probes(search).size(), 1U);
+			ASSERT_EQ(take_probes(search, {}, now).size(), 1U);
 			const auto found = finish_search(search, flow, instance(2));
 			EXPECT_EQ(found.what, step::deliver);
 			EXPECT_EQ(found.packets, packet_list{head});
@@ -566,12 +566,59 @@
 			EXPECT_EQ(found.packets.back(), bytes) << "the newest packet is kept";
 		}
 
+		// Guards against congested links between zones after all processes were killed: the first packet of every flow
+		// was sent to the upstreams of all zones, although most flows are held in their caller's zone.
+		TEST_F(steering_holder_search, probes_own_zone_first)
+		{
+			begin();
+			answer(1, flow_presence::unknown);
+			answer(2, flow_presence::unknown);
+			answer(3, flow_presence::unknown);
+			const std::vector near{instance(2)};
+			const auto probes = take_probes(search, near, now);
+			ASSERT_EQ(probes.size(), 1U);
+			EXPECT_EQ(probes[0].agents, near);
+			EXPECT_TRUE(take_far_probes(search, now).empty()) << "the answer of the zone is awaited";
+			now += far_probe_delay;
+			const auto far = take_far_probes(search, now);
+			ASSERT_EQ(far.size(), 1U);
+			EXPECT_EQ(far[0].agents, (std::vector{instance(1), instance(3)}));
+			EXPECT_TRUE(search.far_probes.empty());
+		}
+
+		// Guards against probes of other zones for a flow that was found, and against a request whose packets reach its
+		// holder only in part because other zones were probed with a newer packet.
+		TEST_F(steering_holder_search, probes_other_zones_only_while_search_lasts)
+		{
+			const std::vector head{std::byte{1}};
+			bytes = head;
+			begin();
+			answer(1, flow_presence::unknown);
+			answer(2, flow_presence::unknown);
+			EXPECT_EQ(take_probes(search, std::vector{instance(2)}, now).size(), 1U);
+			bytes = {std::byte{2}};
+			begin();
+			now += far_probe_delay;
+			const auto far = take_far_probes(search, now);
+			ASSERT_EQ(far.size(), 1U);
+			EXPECT_EQ(far[0].packet, head);
+			EXPECT_EQ(finish_search(search, flow, instance(2)).packets, packet_list{bytes});
+
+			begin();
+			answer(1, flow_presence::unknown);
+			answer(2, flow_presence::unknown);
+			EXPECT_EQ(take_probes(search, std::vector{instance(2)}, now).size(), 1U);
+			EXPECT_EQ(finish_search(search, flow, instance(2)).what, step::none);
+			now += far_probe_delay;
+			EXPECT_TRUE(take_far_probes(search, now).empty());
+		}
+
 		// Guards against a packet that is delivered twice.
 		TEST_F(steering_holder_search, does_not_deliver_packet_again_after_probe)
 		{
 			begin();
 			answer(2, flow_presence::unknown);
-			EXPECT_EQ(take_probes(search).size(), 1U);
+			EXPECT_EQ(take_probes(search, {}, now).size(), 1U);
 			EXPECT_EQ(finish_search(search, flow, instance(2)).what, step::none);
 			EXPECT_FALSE(search.pending.contains(flow));
 		}
