Let agents wait longer for changes in the store

Change: agents let a watch wait for 30 s, the longest time that the store allows. Since a store may answer some processes and not others, a call is given up and repeated when another process has known a newer revision for longer than a call takes; so far only the watch's own timeout showed that. An agent that knows all flows reads the entries once a second rather than every 200 ms while it looks for its own.

The tests of the overdue answer need the new function.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -131,7 +131,7 @@
 	/// Load pattern: after a power loss the store still lists the previous upstreams, and the new ones register under
 	/// other keys. An agent that watches the old key learns of its new upstream only when the old entry expires,
 	/// seconds later. Until then it cannot answer `not_held`, so every flow is probed at every upstream and callers
-	/// wait.
+	/// wait. An agent that knows all flows is not in a hurry.
 	///
 	/// \param started_at_ms	Unix time at which this process started.
 	/// \returns				The key of its upstream's entry, or the whole group while that entry may be outdated.
--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -10,8 +10,16 @@
 
 namespace nutmegturn::steering
 {
-	/// Longest time for which the store may hold a watch without a change. Dead connections are detected by keep-alive.
-	inline constexpr std::chrono::milliseconds watch_wait{10'000};
+	/// \name Longest time for which the store may hold a watch without a change
+	/// Dead connections are detected by keep-alive, and a store that answers others by `is_answer_overdue`.
+	/// @{
+
+	inline constexpr std::chrono::milliseconds balancer_watch_wait{10'000};
+
+	/// For agents, which are many, have few changes to wait for and learn of newer orders from balancers. The longest
+	/// time that the store allows.
+	inline constexpr std::chrono::milliseconds agent_watch_wait{30'000};
+	/// @}
 
 	/// Timeout of a call, in addition to the time for which the store may hold it.
 	inline constexpr std::chrono::milliseconds call_timeout{1'200};
@@ -48,6 +56,7 @@
 
 		step next = step::list;
 		std::chrono::milliseconds coalescing_delay = balancer_coalescing_delay;
+		std::chrono::milliseconds watch_wait = balancer_watch_wait;
 		std::string last_key;                  ///< Last key of the previous page; empty for the first page.
 		std::set<std::string> listed_keys;     ///< Keys in the listing so far.
 		std::uint64_t revision = 0;            ///< All changes up to this revision are known.
@@ -58,6 +67,7 @@
 		monotonic_time last_answer;            ///< When the last complete answer arrived.
 		monotonic_time recovered_at;           ///< When the store first answered after a failure.
 		monotonic_time next_call_at;           ///< Earliest time of the next call.
+		monotonic_time newer_known_since{};    ///< When another process was found to know a newer revision, or zero.
 	};
 
 	/// How long after an outage the store's contents may still be incomplete, since entries have yet to be renewed.
@@ -81,6 +91,13 @@
 	/// \param jitter	Random value that spreads the retries of many processes.
 	void note_failure(store_follower& follower, std::uint64_t jitter, monotonic_time now);
 
+	/// Handles the revision that another process knows while a call is in progress. A store may answer some processes
+	/// and not others, and a watch whose answer was lost looks like one without changes.
+	/// \returns	Whether the call is to be given up, since a newer revision has been known elsewhere for longer than
+	/// a
+	///				call takes.
+	[[nodiscard]] bool is_answer_overdue(store_follower& follower, std::uint64_t revision, monotonic_time now) noexcept;
+
 	/// Returns whether missing entries may be registered again, because the store is or was recently unreachable.
 	[[nodiscard]] bool is_settling(const store_follower& follower, monotonic_time now) noexcept;
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -79,7 +79,8 @@
 				state_.gate.instance = settings.instance;
 				state_.gate.zone = settings.zone;
 				state_.gate.service = steering::key_of_service(settings.service);
-				node_.orders_reader.use_agent_coalescing_delay();
+				node_.orders_reader.use_agent_intervals();
+				node_.upstreams_reader.use_agent_intervals();
 				node_.upstreams_reader.set_watch_scope_selector(
 					[this] { return choose_watch_scope(state_, node_.catalog, started_at_ms_, node_.loop.now()); });
 				state_.knows_all_flows = settings.first_start;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -102,6 +102,7 @@
 
 	void node::handle_orders_revision(steering::ipv4 instance, std::uint64_t revision, steering::ipv4 balancer)
 	{
+		orders_reader.handle_known_revision(revision);
 		const auto now = loop.now();
 		if (now - last_relay_request < relay_interval)
 		{
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -55,6 +55,14 @@
 		call_timer_ = loop_.call_at(follower_.next_call_at, [this] { call(); });
 	}
 
+	void store_reader::handle_known_revision(std::uint64_t revision)
+	{
+		if (call_timer_ == 0 && is_answer_overdue(follower_, revision, loop_.now()))
+		{
+			handle_failure("another process knows a newer revision");
+		}
+	}
+
 	void store_reader::refresh()
 	{
 		if (call_timer_ != 0 && !follower_.unreachable)
@@ -77,9 +85,9 @@
 		call_started_ = loop_.now();
 		++calls_;
 		const bool watch = follower_.next == store_follower::step::watch;
-		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision, steering::watch_wait)
+		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision, follower_.watch_wait)
 								  : platform::listing_target(group_, follower_.last_key);
-		const auto timeout = steering::call_timeout + (watch ? steering::watch_wait : steering::milliseconds{0});
+		const auto timeout = steering::call_timeout + (watch ? follower_.watch_wait : steering::milliseconds{0});
 		connection_.get(target, timeout, [this](const http_result& result) { handle_result(result); });
 	}
 
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -24,12 +24,17 @@
 		/// that scope are not seen.
 		void set_watch_scope_selector(std::function<steering::watch_scope()> selector);
 
-		/// Uses the coalescing delay of agents, which is longer because agents only check the decisions of balancers.
-		void use_agent_coalescing_delay() noexcept
+		/// Uses the intervals of agents, which are longer because agents only check the decisions of balancers.
+		void use_agent_intervals() noexcept
 		{
 			follower_.coalescing_delay = steering::agent_coalescing_delay;
+			follower_.watch_wait = steering::agent_watch_wait;
 		}
 
+		/// Handles the newest revision of the group that another process knows. A call whose answer is overdue by it is
+		/// repeated.
+		void handle_known_revision(std::uint64_t revision);
+
 		/// Sets a function that is called after each complete answer of the store has been applied.
 		void set_answer_handler(std::function<void()> handler);
 
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -311,7 +311,8 @@
 		{
 			return {.key = own->key, .coalescing_delay = agent_coalescing_delay};
 		}
-		return {.key = {}, .coalescing_delay = settled ? agent_coalescing_delay : identification_coalescing_delay};
+		const bool urgent = !settled && !state.knows_all_flows;
+		return {.key = {}, .coalescing_delay = urgent ? identification_coalescing_delay : agent_coalescing_delay};
 	}
 
 	agent_decision handle_upstream_packet(agent_state& state, const segment& packet, monotonic_time now)
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -18,6 +18,7 @@
 				follower.recovered_at = now;
 			}
 			follower.failures = 0;
+			follower.newer_known_since = {};
 			follower.last_answer = now;
 			follower.next_call_at = now;
 		}
@@ -68,6 +69,20 @@
 		follower.next_call_at = now + retry_delay + jitter_delay;
 	}
 
+	bool is_answer_overdue(store_follower& follower, std::uint64_t revision, monotonic_time now) noexcept
+	{
+		if (follower.unreachable || !follower.listed_once || revision <= follower.revision)
+		{
+			return false;
+		}
+		if (follower.newer_known_since == monotonic_time{})
+		{
+			follower.newer_known_since = now;
+		}
+		const auto since = std::max(follower.newer_known_since, follower.next_call_at);
+		return now - since > call_timeout;
+	}
+
 	bool is_settling(const store_follower& follower, monotonic_time now) noexcept
 	{
 		return follower.unreachable ||
@@ -76,6 +91,7 @@
 
 	bool is_current(const store_follower& follower, monotonic_time now) noexcept
 	{
-		return follower.listed_once && !follower.unreachable && now - follower.last_answer <= watch_wait + call_timeout;
+		return follower.listed_once && !follower.unreachable &&
+			   now - follower.last_answer <= follower.watch_wait + call_timeout;
 	}
 }
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -139,6 +139,32 @@
 			EXPECT_EQ(it.next_call_at, start + 1'099ms);
 		}
 
+		// Guards against a configuration that comes into force half a minute late at a process whose watch the store
+		// dropped without an answer, while it answers others.
+		TEST_F(steering_store_follower, gives_up_call_when_others_know_newer_revision)
+		{
+			note_listing(it, 10, "", false, start);
+			auto now = start + 5s;
+			EXPECT_FALSE(is_answer_overdue(it, 10, now));
+			EXPECT_FALSE(is_answer_overdue(it, 12, now)) << "the answer may be on its way";
+			EXPECT_FALSE(is_answer_overdue(it, 12, now + call_timeout));
+			EXPECT_TRUE(is_answer_overdue(it, 12, now + call_timeout + 1ms));
+			note_watch(it, 12, true, now + 2s);
+			EXPECT_FALSE(is_answer_overdue(it, 13, now + 2s)) << "the time of the former revision is over";
+		}
+
+		// Guards against repeated calls while a process pauses between its calls, or cannot reach the store anyway.
+		TEST_F(steering_store_follower, gives_up_no_call_in_pause_or_outage)
+		{
+			it.coalescing_delay = 1s;
+			note_listing(it, 10, "", false, start);
+			note_watch(it, 11, true, start);
+			EXPECT_FALSE(is_answer_overdue(it, 12, start));
+			EXPECT_FALSE(is_answer_overdue(it, 12, start + call_timeout + 1ms)) << "the next call began after a second";
+			note_failure(it, 0, start + 2s);
+			EXPECT_FALSE(is_answer_overdue(it, 12, start + 10s));
+		}
+
 		// Guards against relying on the store's contents while expired entries are still being renewed.
 		TEST_F(steering_store_follower, is_settling_until_entries_had_time_to_return)
 		{
