Let opening packets wait only from twice the slots of an upstream

Change: the limit is twice the slots. An upstream with a published number of 0 slots counts as one with 1 slot.

Serving the oldest first while it has waited for less than 50 ms gave the same as newest first; counting waiting packets twice in load reports gave the same too. Both are left out.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -111,8 +111,8 @@
 	[[nodiscard]] agent_decision handle_balancer_packet(agent_state& state, const catalog& known, const message& msg,
 														const segment& packet, ipv4 balancer, monotonic_time now);
 
-	/// Returns whether the upstream's slots and a short queue are taken, so that opening packets wait at the agent. The
-	/// agent cannot reorder the upstream's own queue, and with an unknown number of slots it keeps none.
+	/// Returns whether the upstream has as many requests as it can start soon, so that opening packets wait at the
+	/// agent, which can reorder them. With an unknown number of slots none wait.
 	[[nodiscard]] bool is_saturated(const agent_state& state, const catalog& known, monotonic_time now);
 
 	/// Answers a balancer's query for the holders of flows.
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -63,6 +63,10 @@
 		/// caller and some delay.
 		constexpr milliseconds first_request_window{30};
 
+		/// Requests in progress, as a multiple of the upstream's slots, from which opening packets wait at the agent:
+		/// while it is not reached, an upstream has a request at hand for each slot that becomes free.
+		constexpr std::size_t queued_requests_ratio = 2;
+
 		void note_opening(agent_state& state, agent_flow& flow, monotonic_time now)
 		{
 			while (!state.recent_openings.empty() && now - state.recent_openings.front() > first_request_window)
@@ -271,8 +275,8 @@
 		{
 			return false;
 		}
-		const auto limit = own->entry.slots + std::max(own->entry.slots / 2, 1U);
-		return state.requests_in_progress + requests_due(state, now) >= limit;
+		return state.requests_in_progress + requests_due(state, now) >=
+			   queued_requests_ratio * std::max(own->entry.slots, 1U);
 	}
 
 	std::vector<flow_answer> answer_query(const agent_state& state, std::span<const flow_id> flows)
