Serve no records to other processes that a new listing lacks

Cause: after the store dropped its history, a process lists all records again. Records that were missing from the new listing left the catalog, but not the copy that is served to other processes. A process that started while the store was away read that copy and used a server that had left, or an evacuation that had ended.

Change: the end of a listing removes them from both.

Test: store_reader_on_loopback plays a listing, a dropped history and a shorter listing; it failed before the change.

--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -150,11 +150,17 @@
 		}
 		if (note_listing(follower_, response.revision, last_key, response.has_more, loop_.now()))
 		{
-			steering::finish_listing(catalog_, group_, follower_.listed_keys, loop_.now());
+			finish_listing(follower_.listed_keys);
 			follower_.listed_keys.clear();
 		}
 	}
 
+	void store_reader::finish_listing(const std::set<std::string>& listed)
+	{
+		steering::finish_listing(catalog_, group_, listed, loop_.now());
+		std::erase_if(encoded_, [&listed](const auto& it) { return !listed.contains(it.first); });
+	}
+
 	void store_reader::apply_watch(const platform::store_response& response)
 	{
 		for (const auto& record : response.records)
@@ -223,8 +229,7 @@
 			apply(record);
 			listed.insert(record.key);
 		}
-		finish_listing(catalog_, group_, listed, loop_.now());
-		std::erase_if(encoded_, [&listed](const auto& it) { return !listed.contains(it.first); });
+		finish_listing(listed);
 		if (orders)
 		{
 			catalog_.orders_revision = std::max(catalog_.orders_revision, response.revision);
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -74,6 +74,9 @@
 		void call();
 		void handle_result(const http_result& result);
 		void apply_listing(const platform::store_response& response);
+
+		/// Removes the records that a complete listing lacks, also from what is served to other processes.
+		void finish_listing(const std::set<std::string>& listed);
 		void apply_watch(const platform::store_response& response);
 		void update_encoded(const steering::store_record& record);
 		void log_service_limits();
--- /dev/null
+++ b/tests/store_reader_test.cpp
@@ -0,0 +1,79 @@
+#include "node/status_server.hpp"
+#include "node/store_reader.hpp"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace nutmegturn::node
+{
+	namespace
+	{
+		using namespace std::chrono_literals;
+
+		/// Returns an encoded entry of the store.
+		[[nodiscard]] std::string item(std::string_view key, int revision)
+		{
+			return fmt::format(R"({{"key":"{}","value":"e30=","revision":{},"created":1,"lease":0}})", key, revision);
+		}
+
+		/// Reader of the upstream entries, against a store on loopback whose answers are scripted.
+		class store_reader_on_loopback : public ::testing::Test
+		{
+		protected:
+			event_loop loop;
+			node_log log{"test"};
+			steering::catalog known;
+			std::deque<status_response> answers; ///< Of the store; the last one is repeated.
+			status_server store{loop, [this](std::string_view) { return next_answer(); }};
+			endpoint address = *parse_endpoint("127.0.0.1:17431");
+
+			status_response next_answer()
+			{
+				const auto answer = answers.front();
+				if (answers.size() > 1)
+				{
+					answers.pop_front();
+				}
+				return answer;
+			}
+
+			/// Runs until the reader's catalog has been changed by all answers, at most a second.
+			void read(store_reader& reader)
+			{
+				ASSERT_EQ(store.listen(address), "");
+				reader.start();
+				loop.call_at(loop.now() + 1s, [this] { loop.stop(); });
+				reader.set_answer_handler(
+					[this]
+					{
+						if (answers.size() == 1)
+						{
+							loop.stop();
+						}
+					});
+				loop.run();
+			}
+		};
+
+		// Guards against a server that has left but is used by a process that starts while the store is away. Entries
+		// that were missing from a new listing were still served to other processes.
+		TEST_F(store_reader_on_loopback, serves_no_records_that_a_new_listing_lacks)
+		{
+			answers = {
+				{.status = 200,
+				 .body = fmt::format(R"({{"items":[{},{}],"has_more":false,"as_of":9}})", item("servers/left", 8),
+									 item("servers/stays", 9))},
+				{.status = 410, .body = R"({"error":"history gone"})"},
+				{.status = 200,
+				 .body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":20}})", item("servers/stays", 9))},
+				{.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			read(reader);
+			const auto served = reader.listing();
+			EXPECT_NE(served.find("servers/stays"), std::string::npos) << served;
+			EXPECT_EQ(served.find("servers/left"), std::string::npos) << served;
+		}
+	}
+}
