Survive malformed records of the store and exceptions of one message

Cause, found by looking for the failures that operators reported: an item with 400,000 nested arrays in a field of another type ended the process (segmentation fault), since each item is encoded again for other processes and the library writes nested values recursively. Numbers beyond the range of a time or an integer were converted without a limit. An exception while one message was handled ended the process, as nothing caught it.

An exception that leaves the callback of a descriptor is logged and counted, and the loop goes on; one in the answer of the store is treated as a failed call, so that the group is still followed. Timers still end the process.

--- a/src/node/event_loop.cpp
+++ b/src/node/event_loop.cpp
@@ -46,6 +46,11 @@
 		iteration_callbacks_.push_back(std::move(callback));
 	}
 
+	void event_loop::set_exception_handler(std::function<void(const std::exception&)> handler)
+	{
+		exception_handler_ = std::move(handler);
+	}
+
 	void event_loop::run()
 	{
 		while (!stopped_)
@@ -54,13 +59,7 @@
 			now_ = runtime::read_clock();
 			for (const auto& event : events)
 			{
-				const auto it = descriptor_callbacks_.find(static_cast<int>(event.data.u64));
-				if (it != descriptor_callbacks_.end())
-				{
-					// Copied because the callback may stop watching its own descriptor.
-					const auto callback = it->second;
-					callback();
-				}
+				run_descriptor_callback(static_cast<int>(event.data.u64));
 			}
 			run_timers();
 			for (const auto& callback : iteration_callbacks_)
@@ -70,6 +69,29 @@
 		}
 	}
 
+	void event_loop::run_descriptor_callback(int fd)
+	{
+		const auto found = descriptor_callbacks_.find(fd);
+		if (found == descriptor_callbacks_.end())
+		{
+			return;
+		}
+		// Copied because the callback may stop watching its own descriptor.
+		const auto callback = found->second;
+		try
+		{
+			callback();
+		}
+		catch (const std::exception& error)
+		{
+			if (!exception_handler_)
+			{
+				throw;
+			}
+			exception_handler_(error);
+		}
+	}
+
 	void event_loop::run_timers()
 	{
 		while (!timers_.empty() && timers_.begin()->first <= now_)
--- a/src/node/event_loop.hpp
+++ b/src/node/event_loop.hpp
@@ -3,6 +3,7 @@
 #include "runtime/clock.hpp"
 #include "runtime/poller.hpp"
 
+#include <exception>
 #include <functional>
 #include <map>
 #include <unordered_map>
@@ -34,6 +35,11 @@
 		/// Adds a callback that runs at the end of each iteration, for example to send batched datagrams.
 		void after_each_iteration(std::function<void()> callback);
 
+		/// Sets a function for exceptions that leave the callback of a descriptor. The loop then goes on, since one
+		/// message that cannot be handled must not end the process. Exceptions of timers end it: they are not caused by
+		/// a message, and a timer that does not schedule its successor would stop an activity for good.
+		void set_exception_handler(std::function<void(const std::exception&)> handler);
+
 		/// Runs until `stop` is called.
 		void run();
 
@@ -56,6 +62,7 @@
 			std::function<void()> callback;
 		};
 
+		void run_descriptor_callback(int fd);
 		void run_timers();
 		[[nodiscard]] std::chrono::nanoseconds time_to_next_timer() const;
 
@@ -63,6 +70,7 @@
 		std::unordered_map<int, std::function<void()>> descriptor_callbacks_;
 		std::multimap<monotonic_time, timer> timers_;
 		std::vector<std::function<void()>> iteration_callbacks_;
+		std::function<void(const std::exception&)> exception_handler_;
 		std::uint64_t next_timer_id_ = 1;
 		monotonic_time now_ = runtime::read_clock();
 		bool stopped_ = false;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -46,6 +46,13 @@
 
 	void node::start()
 	{
+		loop.set_exception_handler(
+			[this](const std::exception& error)
+			{
+				++handler_exceptions;
+				log.write(log_level::error, "handler_failed", "a message could not be handled and was dropped",
+						  {{"reason", error.what()}});
+			});
 		orders_reader.start();
 		upstreams_reader.start();
 		loop.call_at(loop.now() + settings_check_interval, [this] { watch_settings(); });
@@ -150,9 +157,10 @@
 		metrics.set(gauge::view_current, configuration_current() ? 1 : 0);
 		metrics_snapshot snapshot{std::array<const metrics_shard*, 1>{&metrics}};
 		return fmt::format("{}nutmegturn_store_calls_total {}\nnutmegturn_log_lines_dropped_total {}\n"
-						   "nutmegturn_unreadable_records_total {}\nnutmegturn_datagrams_refused_total {}\n",
+						   "nutmegturn_unreadable_records_total {}\nnutmegturn_datagrams_refused_total {}\n"
+						   "nutmegturn_handler_failures_total {}\n",
 						   snapshot.to_prometheus(), orders_reader.calls() + upstreams_reader.calls(), log.dropped(),
-						   catalog.unreadable_records, datagrams_refused);
+						   catalog.unreadable_records, datagrams_refused, handler_exceptions);
 	}
 
 	bool node::loaded() const noexcept
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -76,7 +76,8 @@
 		std::unique_ptr<http_connection> orders_relay;    ///< Reads orders from another process.
 		std::unique_ptr<http_connection> upstreams_relay; ///< Reads upstream entries from another process.
 		monotonic_time last_relay_request;
-		std::uint64_t datagrams_refused = 0; ///< Datagrams that the operating system did not accept for sending.
+		std::uint64_t datagrams_refused = 0;  ///< Datagrams that the operating system did not accept for sending.
+		std::uint64_t handler_exceptions = 0; ///< Messages that were dropped because handling them threw.
 		settings_file file;
 		std::int64_t file_modified_at = 0; ///< Modification time of the settings file, in nanoseconds.
 
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -92,6 +92,19 @@
 	}
 
 	void store_reader::handle_result(const http_result& result)
+	{
+		try
+		{
+			apply_result(result);
+		}
+		catch (const std::exception& error)
+		{
+			// Repeated like a failed call, so that the group is still followed.
+			handle_failure(error.what());
+		}
+	}
+
+	void store_reader::apply_result(const http_result& result)
 	{
 		if (result.status == 0)
 		{
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -73,6 +73,7 @@
 		void call_when_due();
 		void call();
 		void handle_result(const http_result& result);
+		void apply_result(const http_result& result);
 		void apply_listing(const platform::store_response& response);
 
 		/// Removes the records that a complete listing lacks, also from what is served to other processes.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -14,6 +14,7 @@
 {
 	namespace
 	{
+		using namespace std::chrono_literals;
 		using steering::to_string;
 
 		[[nodiscard]] std::vector<std::byte> from_hex(std::string_view hex)
@@ -166,6 +167,39 @@
 			EXPECT_EQ(it->idle_timeout.count(), 15'000);
 		}
 
+		// Guards against a record that ends the process: re-encoding an item with deep nesting exhausted the stack.
+		TEST(store_format, survives_deeply_nested_items)
+		{
+			constexpr std::size_t depth = 400'000;
+			const auto nested = std::string(depth, '[') + std::string(depth, ']');
+			const auto body = R"({"items":[{"key":"servers/a","revision":3,"value":)" + nested +
+							  R"(},{"key":"servers/b","revision":4,"value":"e30=","extra":)" + nested +
+							  R"(}],"as_of":9})";
+			const auto response = decode_response(200, body);
+			EXPECT_EQ(response.result, store_response::outcome::complete);
+			ASSERT_EQ(response.records.size(), 2U);
+			EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(response.records[0].value));
+			EXPECT_EQ(response.records[1].key, "servers/b");
+		}
+
+		// Guards against numbers that overflow when they are converted: an idle timeout beyond the range of the clock
+		// would end every flow at once.
+		TEST(store_format, limits_numbers_to_usable_ranges)
+		{
+			const auto value = decode_one(
+				"op/config",
+				R"({"version":1,"routes":[{"host":"198.18.0.1","prefix":"/443/","traffic_split":[)"
+				R"({"service":"a","weight":1e300}]}],"services":[{"name":"a","cold_start_s":1e300,"cold_per_s":1e300},)"
+				R"({"name":"b","cold_start_s":-5,"cold_per_s":-5}],"limits":{"idle_timeout_ms":18446744073709551615}})");
+			const auto& config = std::get<steering::configuration>(value);
+			EXPECT_EQ(config.services[0].cold_time, 1h);
+			EXPECT_EQ(config.services[0].cold_requests_per_s, 1e6);
+			EXPECT_EQ(config.services[1].cold_time, 0ms);
+			EXPECT_EQ(config.services[1].cold_requests_per_s, 0.0);
+			EXPECT_EQ(config.idle_timeout, 24h);
+			EXPECT_EQ(config.routes[0].services[0].weight, 1'000'000'000U);
+		}
+
 		// Guards against applying changes from an unsuccessful or malformed response.
 		TEST(store_format, distinguishes_refusals_lost_history_and_malformed_responses)
 		{
