Lose fewer packets while balancers and agents start

Packets that reached a balancer in the 20 to 40 ms in which it reads the catalog were dropped, and opening packets went to agents that had not started, since these showed no load; both cost the caller 200 ms or more.

Change: a balancer starts to read callers' packets when it has the catalog, and handles those that waited unless that took 200 ms, after which callers have sent them again. An upstream whose agent has not been heard costs as much as 1.5 times its slots, and agents that have not been heard get a subscription every 100 ms.

--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -72,6 +72,9 @@
 	[[nodiscard]] std::vector<ipv4> required_answers(const balancer_state& state, const catalog& known,
 													 const flow_id& id, monotonic_time now);
 
+	/// Returns the agents of listed upstreams that have not sent any message to this process.
+	[[nodiscard]] std::vector<ipv4> unheard_agents(const balancer_state& state, const catalog& known);
+
 	/// Records the agent whose upstream holds a flow.
 	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now);
 
--- a/include/nutmegturn/steering/upstream_choice.hpp
+++ b/include/nutmegturn/steering/upstream_choice.hpp
@@ -36,6 +36,9 @@
 	/// Requests in progress dominate the cost; open flows, which lead to requests later, have a small weight. The
 	/// balancer's own zone is preferred while its upstreams have free slots, since bandwidth between zones is scarce.
 	///
+	/// After a power loss agents start one after the other, and an opening packet to one that has not started is lost:
+	/// upstreams whose agents have been heard are preferred.
+	///
 	/// An upstream that resets part of its requests gets fewer flows even if it reports itself healthy, but is never
 	/// excluded.
 	///
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -37,9 +37,16 @@
 		/// Interval of checks whether the catalog has been read.
 		constexpr auto catalog_check_interval = 20ms;
 
+		/// Time after which callers send a packet again.
+		constexpr auto caller_retransmission = 200ms;
+
 		/// Interval of `subscribe` messages to agents; agents send load reports as long as they get them.
 		constexpr auto subscribe_interval = 1s;
 
+		/// Interval of `subscribe` messages to agents that have not sent anything yet, for example because they start
+		/// later than the balancer.
+		constexpr auto subscribe_retry_interval = 100ms;
+
 		/// Time that a new balancer waits for the flows of its zone before it reports that it is ready for packets of
 		/// callers.
 		constexpr auto learning_time = 150ms;
@@ -86,8 +93,7 @@
 				peers_ = std::move(std::get<0>(peers));
 				to_callers_.emplace(callers_.get(), batch_size);
 				to_peers_.emplace(peers_.get(), batch_size);
-				if (!node_.loop.watch(callers_.get(), [this] { read_callers(); }) ||
-					!node_.loop.watch(peers_.get(), [this] { read_peers(); }))
+				if (!node_.loop.watch(peers_.get(), [this] { read_peers(); }))
 				{
 					return "epoll_ctl failed for a UDP socket";
 				}
@@ -489,6 +495,31 @@
 				}
 				subscribe_to_agents();
 				first_subscribe_ = node_.loop.now();
+				start_reading_callers();
+			}
+
+			/// Starts to read callers' packets. Those that arrived while the catalog was read are handled now, unless
+			/// their callers have sent them again since.
+			void start_reading_callers()
+			{
+				if (node_.loop.now() - state_.started >= caller_retransmission)
+				{
+					discard_waiting_packets();
+				}
+				if (!node_.loop.watch(callers_.get(), [this] { read_callers(); }))
+				{
+					node_.log.write(log_level::error, "start_failed", "epoll_ctl failed for the UDP socket of callers");
+					node_.loop.stop();
+				}
+			}
+
+			void discard_waiting_packets()
+			{
+				for (auto n = batch_.receive(callers_.get()); n > 0; n = batch_.receive(callers_.get()))
+				{
+					node_.metrics.add(counter::packets_received, reason::none, n);
+					node_.metrics.add(counter::packets_dropped, reason::not_current, n);
+				}
 			}
 
 			void subscribe_to_agents()
@@ -502,6 +533,7 @@
 				{
 					send(upstream.entry.address.ip, msg);
 				}
+				schedule_subscribe_retry();
 				expire_idle_flows(state_, node_.loop.now());
 				for (const auto& expired : expire_searches(search_, node_.loop.now()))
 				{
@@ -511,6 +543,29 @@
 				node_.loop.call_at(node_.loop.now() + subscribe_interval, [this] { subscribe_to_agents(); });
 			}
 
+			void schedule_subscribe_retry()
+			{
+				if (!subscribe_retry_scheduled_ && !unheard_agents(state_, node_.catalog).empty())
+				{
+					subscribe_retry_scheduled_ = true;
+					node_.loop.call_at(node_.loop.now() + subscribe_retry_interval, [this] { retry_subscribe(); });
+				}
+			}
+
+			void retry_subscribe()
+			{
+				subscribe_retry_scheduled_ = false;
+				message msg;
+				msg.version = node_.catalog.version;
+				msg.orders_revision = node_.catalog.orders_revision;
+				msg.zone = steering::key_of_zone(node_.settings.zone);
+				for (const auto agent : unheard_agents(state_, node_.catalog))
+				{
+					send(agent, msg);
+				}
+				schedule_subscribe_retry();
+			}
+
 			void on_signal(int signal)
 			{
 				if (signal == SIGHUP)
@@ -567,6 +622,7 @@
 			monotonic_time last_queries_;                   ///< When queries were sent last.
 			bool repeat_scheduled_ = false;
 			bool probes_scheduled_ = false;
+			bool subscribe_retry_scheduled_ = false;
 			bool far_probes_scheduled_ = false;
 			bool stopping_ = false;
 			monotonic_time stop_requested_;
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -283,6 +283,20 @@
 										   : search_holder(state, known, route->second, now).required;
 	}
 
+	std::vector<ipv4> unheard_agents(const balancer_state& state, const catalog& known)
+	{
+		std::vector<ipv4> agents;
+		for (const auto& [key, it] : known.upstreams)
+		{
+			const auto found = state.loads.find(it.entry.address.ip);
+			if (it.listed && (found == state.loads.end() || found->second.reported_at == monotonic_time{}))
+			{
+				add_if_absent(agents, it.entry.address.ip);
+			}
+		}
+		return agents;
+	}
+
 	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
 	{
 		if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
--- a/src/steering/upstream_choice.cpp
+++ b/src/steering/upstream_choice.cpp
@@ -20,6 +20,10 @@
 		/// Cost of an upstream that is used only if no other can accept the flow.
 		constexpr double last_resort_cost = 1e6;
 
+		/// Cost of an upstream whose agent has not sent anything to this process yet: it may still be starting, or its
+		/// instance may be gone. Such an upstream is tried when the others have requests for 1.5 times their slots.
+		constexpr double unheard_agent_cost = 1.5;
+
 		/// Cost of an upstream in another zone.
 		constexpr double other_zone_cost = spill_load;
 
@@ -40,9 +44,10 @@
 			const auto found = loads.find(upstream.entry.address.ip);
 			if (found == loads.end())
 			{
-				return cost;
+				return cost + unheard_agent_cost;
 			}
 			const auto& load = found->second;
+			cost += load.reported_at == monotonic_time{} ? unheard_agent_cost : 0.0;
 			const double weighted_load =
 				load.report.requests_in_progress + load.flows_since_report + open_flow_weight * load.report.open_flows;
 			cost += weighted_load * (is_cold(upstream, now) ? cold_factor : 1.0) / std::max(upstream.entry.slots, 1U);
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -147,6 +147,18 @@
 			EXPECT_EQ(packet(opening(1)).agents.at(0), instance(3));
 		}
 
+		// Guards against opening packets that are lost and repeated after 200 ms: after a power loss a balancer that
+		// started first placed flows at upstreams whose agents had not started, because they showed no load.
+		TEST_F(steering_balancer_opening, prefers_upstreams_whose_agents_were_heard)
+		{
+			EXPECT_EQ(unheard_agents(state, known).size(), 4U);
+			receive_state(instance(3), admission_status::accepting);
+			EXPECT_EQ(packet(opening()).agents, std::vector{instance(3)}) << "in another zone, but its agent is up";
+			EXPECT_EQ(unheard_agents(state, known), (std::vector{instance(1), instance(2), instance(4)}));
+			put(known, "u1", removed_record{});
+			EXPECT_EQ(unheard_agents(state, known), (std::vector{instance(2), instance(4)}));
+		}
+
 		// Guards against a caller that waits for its timeout although no upstream is available.
 		TEST_F(steering_balancer_opening, resets_at_once_without_upstream)
 		{
