--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -29,6 +29,20 @@
 		held_flows   ///< Agent to balancers of a zone: flows of that zone that the upstream holds.
 	};
 
+	/// Number of values that a message's kind can have on the wire, including the unused 0.
+	inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::held_flows) + 1;
+
+	/// Returns the name for metrics.
+	[[nodiscard]] std::string_view to_string(message_kind kind) noexcept;
+
+	/// Messages of a process by kind. Searches multiply messages without a trace in the log, so both directions are
+	/// counted.
+	struct message_counts
+	{
+		std::array<std::uint64_t, message_kind_count> sent{};
+		std::array<std::uint64_t, message_kind_count> received{};
+	};
+
 	/// Whether an agent accepts opening packets, and if not, why.
 	enum class admission_status : std::uint8_t
 	{
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -143,6 +143,7 @@
 					{
 						continue;
 					}
+					++node_.messages.received[static_cast<std::size_t>(msg->kind)];
 					const auto balancer = msg->kind == message_kind::probe ? msg->reply_to : from->ip;
 					node_.handle_orders_revision(balancer, msg->orders_revision, balancer);
 					if (msg->kind == message_kind::subscribe)
@@ -450,6 +451,7 @@
 
 			void send(ipv4 receiver, const message& msg)
 			{
+				++node_.messages.sent[static_cast<std::size_t>(msg.kind)];
 				const auto buffer = to_peers_->reserve(steering::max_message_header_size + msg.packet.size());
 				const auto size = encode_message(msg, buffer);
 				to_peers_->commit(to_endpoint({.ip = receiver, .port = node_.settings.peer_port}), size);
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -148,6 +148,7 @@
 					const auto from = to_ipv4(batch_.source(i));
 					if (msg && from)
 					{
+						++node_.messages.received[static_cast<std::size_t>(msg->kind)];
 						node_.handle_orders_revision(from->ip, msg->orders_revision, msg->other_balancer);
 						handle_message(*msg, from->ip);
 					}
@@ -336,6 +337,7 @@
 				const bool is_first = search_.unsent_queries.empty();
 				const bool started = begin_search(search_, flow_of_caller(packet), bytes, packet.acknowledgement,
 												  decision.agents, decision.required, now);
+				node_.searches += started ? 1 : 0;
 				if (started && is_first)
 				{
 					node_.loop.call_at(std::max(now, last_queries_ + steering::query_interval),
@@ -426,6 +428,7 @@
 
 			void send(ipv4 agent, const message& msg)
 			{
+				++node_.messages.sent[static_cast<std::size_t>(msg.kind)];
 				const auto buffer = to_peers_->reserve(steering::max_message_header_size + msg.packet.size());
 				const auto size = encode_message(msg, buffer);
 				to_peers_->commit(to_endpoint({.ip = agent, .port = node_.settings.peer_port}), size);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -25,6 +25,20 @@
 		/// Interval of checks for a settings file that changed without a signal.
 		constexpr std::chrono::seconds settings_check_interval{5};
 
+		/// Returns the counters of messages by kind in the Prometheus text format.
+		[[nodiscard]] std::string format_message_counts(const steering::message_counts& counts)
+		{
+			std::string text;
+			for (std::size_t kind = 1; kind < steering::message_kind_count; ++kind)
+			{
+				const auto name = to_string(static_cast<steering::message_kind>(kind));
+				text += fmt::format("nutmegturn_messages_sent_total{{kind=\"{0}\"}} {1}\n"
+									"nutmegturn_messages_received_total{{kind=\"{0}\"}} {2}\n",
+									name, counts.sent[kind], counts.received[kind]);
+			}
+			return text;
+		}
+
 		/// Returns the modification time of a file, or -1 when it cannot be read.
 		[[nodiscard]] std::int64_t modification_time(const std::string& path)
 		{
@@ -158,9 +172,10 @@
 		metrics_snapshot snapshot{std::array<const metrics_shard*, 1>{&metrics}};
 		return fmt::format("{}nutmegturn_store_calls_total {}\nnutmegturn_log_lines_dropped_total {}\n"
 						   "nutmegturn_unreadable_records_total {}\nnutmegturn_datagrams_refused_total {}\n"
-						   "nutmegturn_handler_failures_total {}\n",
+						   "nutmegturn_handler_failures_total {}\nnutmegturn_searches_total {}\n{}",
 						   snapshot.to_prometheus(), orders_reader.calls() + upstreams_reader.calls(), log.dropped(),
-						   catalog.unreadable_records, datagrams_refused, handler_exceptions);
+						   catalog.unreadable_records, datagrams_refused, handler_exceptions, searches,
+						   format_message_counts(messages));
 	}
 
 	bool node::loaded() const noexcept
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegturn/metrics.hpp"
+#include "nutmegturn/steering/message.hpp"
 #include "nutmegturn/steering/node_settings.hpp"
 
 #include "node/status_server.hpp"
@@ -77,6 +78,8 @@
 		std::unique_ptr<http_connection> upstreams_relay; ///< Reads upstream entries from another process.
 		monotonic_time last_relay_request;
 		std::uint64_t datagrams_refused = 0;  ///< Datagrams that the operating system did not accept for sending.
+		steering::message_counts messages;    ///< Exchanged with other processes.
+		std::uint64_t searches = 0;           ///< Searches for holders that were started.
 		std::uint64_t handler_exceptions = 0; ///< Messages that were dropped because handling them threw.
 		settings_file file;
 		std::int64_t file_modified_at = 0; ///< Modification time of the settings file, in nanoseconds.
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -19,6 +19,11 @@
 			"open", "other_service",        "draining", "evacuated", "cold",
 			"full", "upstream_unreachable", "stopping", "ended"};
 
+		/// Names for metrics, in the order of `message_kind`; the first one is unused.
+		constexpr std::array<std::string_view, message_kind_count> kind_names{
+			"none", "open",     "flow_packet", "probe", "probe_relay", "query",     "subscribe",
+			"held", "not_held", "declined",    "load",  "query_reply", "held_flows"};
+
 		/// Writes consecutive little-endian fields.
 		struct writer
 		{
@@ -89,6 +94,11 @@
 		}
 	}
 
+	std::string_view to_string(message_kind kind) noexcept
+	{
+		return kind_names[static_cast<std::size_t>(kind)];
+	}
+
 	std::string_view to_string(admission_status state) noexcept
 	{
 		return admission_status_names[static_cast<std::size_t>(state)];
--- a/tests/steering_message_test.cpp
+++ b/tests/steering_message_test.cpp
@@ -30,6 +30,14 @@
 			return it;
 		}
 
+		// Guards against counters of messages that are missing or have the name of another kind.
+		TEST(steering_message, names_each_kind)
+		{
+			EXPECT_EQ(to_string(message_kind::open), "open");
+			EXPECT_EQ(to_string(message_kind::subscribe), "subscribe");
+			EXPECT_EQ(to_string(message_kind::held_flows), "held_flows");
+		}
+
 		// Guards against fields that are encoded but not decoded.
 		TEST(steering_message, round_trips_fields_of_its_kind)
 		{
