Keep the sockets of closed flows for a minute

Cause, found by looking for the failures that operators reported: the agent of the project's own interface closed the socket of a flow at once. An upstream may retransmit a confirmable response for up to 45 s, and the operating system may give the port to a new flow meanwhile; a caller there with the same token would get the response of another one.

Change: such sockets are kept for 60 s, 1,024 at most, and are not read any more.

Tests: retired_sockets. Not reproduced with a whole agent; with the sockets of the test the port can be bound at once without the retention and cannot with it.

--- a/src/runtime/agent_worker.cpp
+++ b/src/runtime/agent_worker.cpp
@@ -585,6 +585,15 @@
 		metrics_.add(counter::packets_sent);
 	}
 
+	void agent_worker::retire_socket(file_descriptor& socket)
+	{
+		if (socket)
+		{
+			poller_.remove(socket.get());
+			retired_sockets_.add(std::move(socket), read_clock());
+		}
+	}
+
 	void agent_worker::execute_actions(served_upstream& served)
 	{
 		for (auto& it : actions_)
@@ -609,7 +618,7 @@
 			}
 			else if (const auto* closed = std::get_if<close_flow>(&it))
 			{
-				upstream_socket(served, closed->flow)->reset();
+				retire_socket(*upstream_socket(served, closed->flow));
 			}
 			else if (auto* event = std::get_if<audit_event>(&it))
 			{
--- a/src/runtime/agent_worker.hpp
+++ b/src/runtime/agent_worker.hpp
@@ -12,6 +12,7 @@
 #include "runtime/clock.hpp"
 #include "runtime/poller.hpp"
 #include "runtime/published.hpp"
+#include "runtime/retired_sockets.hpp"
 #include "runtime/udp.hpp"
 
 #include <boost/lockfree/spsc_queue.hpp>
@@ -155,6 +156,7 @@
 		void report_metrics(served_upstream& it);
 		void execute_actions(served_upstream& served);
 		void send_to_upstream(const deliver& action);
+		void retire_socket(file_descriptor& socket);
 		[[nodiscard]] file_descriptor* upstream_socket(served_upstream& it, flow_slot slot);
 		void post_to_control(const control_thread_message& message);
 
@@ -168,6 +170,7 @@
 		std::unique_ptr<send_batch> send_batch_;
 		receive_batch receive_batch_;
 		std::vector<std::byte> buffer_;
+		retired_sockets retired_sockets_;
 		std::vector<std::unique_ptr<served_upstream>> served_; ///< Indexed like `agent_shared_state::upstreams`.
 		std::shared_ptr<const agent_directory> directory_;
 		action_list actions_;
--- a/src/runtime/poller.cpp
+++ b/src/runtime/poller.cpp
@@ -24,6 +24,12 @@
 		return ::epoll_ctl(fd_.get(), EPOLL_CTL_ADD, fd, &event) == 0;
 	}
 
+	void poller::remove(int fd) noexcept
+	{
+		// Fails only if the descriptor is not watched; there is nothing to change then.
+		[[maybe_unused]] const int removed = ::epoll_ctl(fd_.get(), EPOLL_CTL_DEL, fd, nullptr);
+	}
+
 	void poller::set_writable(int fd, std::uint64_t label, bool writable) noexcept
 	{
 		epoll_event event{};
--- a/src/runtime/poller.hpp
+++ b/src/runtime/poller.hpp
@@ -24,6 +24,9 @@
 		/// \returns		Whether the system call succeeded.
 		[[nodiscard]] bool add(int fd, std::uint64_t label) noexcept;
 
+		/// Stops watching a descriptor that stays open.
+		void remove(int fd) noexcept;
+
 		/// Enables or disables watching a registered descriptor for writing.
 		void set_writable(int fd, std::uint64_t label, bool writable) noexcept;
 
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -3,10 +3,13 @@
 #include "runtime/balancer_worker.hpp"
 #include "runtime/chart.hpp"
 #include "runtime/config_client.hpp"
+#include "runtime/retired_sockets.hpp"
 
 #include <QTemporaryDir>
 
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 
 #include <array>
 #include <fstream>
@@ -130,6 +133,39 @@
 		EXPECT_EQ(metrics_snapshot{shards}.value(counter::packets_dropped, reason::not_current), 1U);
 	}
 
+	// Guards against a caller that gets the response of another one: an upstream sends a response a second time after
+	// its flow was closed, and a new flow has the same port.
+	TEST(retired_sockets, keep_their_ports_while_upstreams_may_retransmit)
+	{
+		auto upstream = open_socket();
+		sockaddr_in address{};
+		socklen_t length = sizeof(address);
+		ASSERT_EQ(::getsockname(upstream.get(), reinterpret_cast<sockaddr*>(&address), &length), 0);
+		const auto port_is_free = [&address]
+		{
+			const file_descriptor other{::socket(AF_INET, SOCK_DGRAM, 0)};
+			return ::bind(other.get(), reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+		};
+		retired_sockets retired;
+		const auto now = read_clock();
+		retired.add(std::move(upstream), now);
+		retired.close_expired(now + retired_sockets::retention - 1ms);
+		EXPECT_FALSE(port_is_free());
+		retired.close_expired(now + retired_sockets::retention);
+		EXPECT_TRUE(port_is_free());
+	}
+
+	// Guards against running out of descriptors while many flows close.
+	TEST(retired_sockets, are_bounded)
+	{
+		retired_sockets retired;
+		for (std::size_t i = 0; i < retired_sockets::max_sockets + 5; ++i)
+		{
+			retired.add(file_descriptor{}, read_clock());
+		}
+		EXPECT_EQ(retired.size(), retired_sockets::max_sockets);
+	}
+
 	// Guards against a large datagram overwriting another one in the same batch, and against truncated payloads.
 	TEST(udp_send_batch, sends_small_and_large_datagrams_intact)
 	{
