Move a balancer's searches into a class of their own

balancer_node did sockets, signals, subscriptions and the timers of searches in one class of 647 lines. search_runner now holds the searches with their queries, probes and checks of denied flows; the decisions stay in holder_search.

--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -1,8 +1,8 @@
 #include "nutmegturn/steering/balancer_flows.hpp"
-#include "nutmegturn/steering/holder_search.hpp"
 
 #include "node/node.hpp"
 #include "node/process_signals.hpp"
+#include "node/search_runner.hpp"
 #include "platform/packet_format.hpp"
 #include "runtime/udp.hpp"
 
@@ -20,7 +20,6 @@
 		using steering::ipv4;
 		using steering::message;
 		using steering::message_kind;
-		using steering::search_step;
 		using steering::segment;
 		using steering::steering_decision;
 		using steering::to_endpoint;
@@ -30,10 +29,6 @@
 		constexpr std::size_t batch_size = 64;
 		constexpr std::size_t datagram_size = 2'048;
 
-		/// Interval of checks of denied flows while it is unknown whether the catalog is up to date. An answer of the
-		/// store starts a check at once.
-		constexpr auto denial_check_interval = 10ms;
-
 		/// Interval of checks whether the catalog has been read.
 		constexpr auto catalog_check_interval = 20ms;
 
@@ -71,7 +66,7 @@
 			{
 				state_.zone = settings.zone;
 				state_.started = node_.loop.now();
-				node_.upstreams_reader.set_answer_handler([this] { on_store_answer(); });
+				node_.upstreams_reader.set_answer_handler([this] { searches_.on_store_answer(); });
 			}
 
 			/// Opens the sockets.
@@ -166,109 +161,7 @@
 				{
 					apply_decision(decision, *packet, msg.packet);
 				}
-				handle_search_answers(msg, agent);
-			}
-
-			void handle_search_answers(const message& msg, ipv4 agent)
-			{
-				const auto now = node_.loop.now();
-				const bool complete = node_.upstreams_complete();
-				if (msg.kind == message_kind::query_reply)
-				{
-					for (const auto& answer : steering::decode_answers(msg.packet))
-					{
-						apply_search_step(handle_query_answer(search_, agent, answer, now, complete), agent);
-					}
-				}
-				else if (msg.kind == message_kind::held)
-				{
-					apply_search_step(finish_search(search_, msg.flow, agent), agent);
-				}
-				else if (msg.kind == message_kind::held_flows)
-				{
-					for (const auto& flow : steering::decode_flows(msg.packet))
-					{
-						apply_search_step(finish_search(search_, flow, agent), agent);
-					}
-				}
-				else if (msg.kind == message_kind::not_held)
-				{
-					const steering::flow_answer answer{.flow = msg.flow, .presence = steering::flow_presence::not_held};
-					apply_search_step(handle_query_answer(search_, agent, answer, now, complete), agent);
-				}
-				handle_denied_flows();
-			}
-
-			/// Gives up flows that no upstream holds: immediately if the catalog is up to date, otherwise after reading
-			/// the changes that are pending in the store during a pause between calls.
-			void handle_denied_flows()
-			{
-				if (denial_check_timer_ != 0 || denied_flows(search_).empty())
-				{
-					return;
-				}
-				if (node_.upstreams_reader.is_up_to_date_since(node_.loop.now()))
-				{
-					check_denied_flows();
-					return;
-				}
-				schedule_denial_check();
-			}
-
-			void on_store_answer()
-			{
-				if (denial_check_timer_ != 0)
-				{
-					check_denied_flows();
-				}
-			}
-
-			void schedule_denial_check()
-			{
-				node_.upstreams_reader.refresh();
-				denial_check_timer_ =
-					node_.loop.call_at(node_.loop.now() + denial_check_interval, [this] { check_denied_flows(); });
-			}
-
-			void check_denied_flows()
-			{
-				const auto now = node_.loop.now();
-				node_.loop.cancel(std::exchange(denial_check_timer_, 0));
-				for (const auto& id : denied_flows(search_))
-				{
-					const auto denied = *search_.pending.at(id).denied_at;
-					const bool current =
-						node_.upstreams_complete() && node_.upstreams_reader.is_up_to_date_since(denied);
-					const auto required = steering::required_answers(state_, node_.catalog, id, now);
-					apply_search_step(confirm_denied(search_, id, required, now, current), ipv4{});
-				}
-				send_queries();
-				if (!denied_flows(search_).empty())
-				{
-					schedule_denial_check();
-				}
-			}
-
-			void apply_search_step(const search_step& step, ipv4 agent)
-			{
-				switch (step.what)
-				{
-					case search_step::action::none:
-						break;
-					case search_step::action::deliver:
-						note_holder(state_, step.flow, agent, node_.loop.now());
-						for (const auto& packet : step.packets)
-						{
-							send_packet(agent, message_kind::flow_packet, packet);
-						}
-						break;
-					case search_step::action::probe:
-						schedule_probes();
-						break;
-					case search_step::action::reset:
-						reset_flow(step.flow, step.acknowledgement, reason::holder_gone);
-						break;
-				}
+				searches_.handle_answers(msg, agent);
 			}
 
 			void apply_decision(const steering_decision& decision, const segment& packet,
@@ -284,7 +177,10 @@
 						}
 						break;
 					case steering_decision::action::search:
-						search_holder(decision, packet, bytes);
+						if (!searches_.search(decision, packet, bytes))
+						{
+							drop_packet(reason::queue_full, flow_of_caller(packet));
+						}
 						break;
 					case steering_decision::action::reset:
 						reset_flow(flow_of_caller(packet), packet.syn ? 0 : packet.acknowledgement, decision.why);
@@ -325,107 +221,6 @@
 				send(agent, msg);
 			}
 
-			void search_holder(const steering_decision& decision, const segment& packet,
-							   std::span<const std::byte> bytes)
-			{
-				const auto now = node_.loop.now();
-				if (search_table_full(search_, flow_of_caller(packet)))
-				{
-					drop_packet(reason::queue_full, flow_of_caller(packet));
-					return;
-				}
-				const bool is_first = search_.unsent_queries.empty();
-				const bool started = begin_search(search_, flow_of_caller(packet), bytes, packet.acknowledgement,
-												  decision.agents, decision.required, now);
-				node_.searches += started ? 1 : 0;
-				if (started && is_first)
-				{
-					node_.loop.call_at(std::max(now, last_queries_ + steering::query_interval),
-									   [this] { send_queries(); });
-				}
-				schedule_repeat();
-			}
-
-			void schedule_probes()
-			{
-				if (!probes_scheduled_)
-				{
-					probes_scheduled_ = true;
-					node_.loop.call_at(node_.loop.now() + steering::probe_delay, [this] { send_probes(); });
-				}
-			}
-
-			void send_probes()
-			{
-				probes_scheduled_ = false;
-				send_probes(
-					take_probes(search_, instances_in_zone(node_.catalog, node_.settings.zone), node_.loop.now()));
-				schedule_far_probes();
-			}
-
-			void send_probes(const std::vector<steering::holder_probe>& probes)
-			{
-				for (const auto& probe : probes)
-				{
-					send_packet(probe.relay, message_kind::probe_relay,
-								steering::encode_probe_relay(probe.agents, probe.packet));
-				}
-			}
-
-			void schedule_far_probes()
-			{
-				if (!far_probes_scheduled_ && !search_.far_probes.empty())
-				{
-					far_probes_scheduled_ = true;
-					node_.loop.call_at(search_.far_probes.front().due, [this] { send_far_probes(); });
-				}
-			}
-
-			void send_far_probes()
-			{
-				far_probes_scheduled_ = false;
-				send_probes(take_far_probes(search_, node_.loop.now()));
-				schedule_far_probes();
-			}
-
-			void schedule_repeat()
-			{
-				if (repeat_scheduled_ || search_.pending.empty())
-				{
-					return;
-				}
-				repeat_scheduled_ = true;
-				node_.loop.call_at(node_.loop.now() + steering::search_timeout, [this] { repeat_queries(); });
-			}
-
-			void repeat_queries()
-			{
-				repeat_scheduled_ = false;
-				if (steering::repeat_queries(search_, node_.loop.now()))
-				{
-					send_queries();
-				}
-				schedule_repeat();
-			}
-
-			void send_queries()
-			{
-				last_queries_ = node_.loop.now();
-				std::array<std::byte, steering::max_flows_per_message * steering::encoded_flow_size> encoded{};
-				for (const auto& [agent, flows] : take_queries(search_))
-				{
-					std::span<const steering::flow_id> rest = flows;
-					while (!rest.empty())
-					{
-						const auto part = rest.first(std::min(rest.size(), steering::max_flows_per_message));
-						encode_flows(part, encoded);
-						rest = rest.subspan(part.size());
-						send_packet(agent, message_kind::query,
-									std::span{encoded}.first(part.size() * steering::encoded_flow_size));
-					}
-				}
-			}
-
 			void send(ipv4 agent, const message& msg)
 			{
 				++node_.messages.sent[static_cast<std::size_t>(msg.kind)];
@@ -472,21 +267,6 @@
 								 {"version", std::to_string(node_.catalog.version)}});
 			}
 
-			void log_expired(const steering::expired_search& search)
-			{
-				node_.metrics.add(counter::packets_dropped, reason::upstream_silent);
-				const auto first = search.unanswered.empty() ? std::string{} : to_string(search.unanswered.front());
-				node_.log.write(
-					log_level::warning, "search_expired",
-					"search for the holder of a flow expired; not all agents answered",
-					{{"flow", fmt::format("{}>{}", to_string(search.flow.caller), to_string(search.flow.route))},
-					 {"unanswered", std::to_string(search.unanswered.size())},
-					 {"first_unanswered", first},
-					 {"rounds", std::to_string(search.rounds)},
-					 {"catalog_complete", node_.upstreams_complete() ? "yes" : "no"},
-					 {"version", std::to_string(node_.catalog.version)}});
-			}
-
 			/// Sends the first `subscribe` messages when the catalog has been read, so that all agents send the flows
 			/// of this zone.
 			void subscribe_when_loaded()
@@ -538,10 +318,7 @@
 				}
 				schedule_subscribe_retry();
 				expire_idle_flows(state_, node_.loop.now());
-				for (const auto& expired : expire_searches(search_, node_.loop.now()))
-				{
-					log_expired(expired);
-				}
+				searches_.expire();
 				expire_former(node_.catalog, node_.loop.now());
 				node_.loop.call_at(node_.loop.now() + subscribe_interval, [this] { subscribe_to_agents(); });
 			}
@@ -612,7 +389,13 @@
 
 			node node_;
 			steering::balancer_state state_;
-			steering::holder_search search_;
+			search_runner searches_{
+				node_,
+				state_,
+				{.send_packet = [this](ipv4 agent, message_kind kind, std::span<const std::byte> bytes)
+				 { send_packet(agent, kind, bytes); },
+				 .reset_flow = [this](const steering::flow_id& flow, std::uint32_t sequence, reason why)
+				 { reset_flow(flow, sequence, why); }}};
 			status_server status_;
 			process_signals signals_;
 			runtime::file_descriptor callers_;
@@ -621,12 +404,7 @@
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_peers_;
 			std::optional<monotonic_time> first_subscribe_; ///< Time of the first `subscribe` messages to the agents.
-			std::uint64_t denial_check_timer_ = 0;          ///< Timer of the next check; 0 if none is due.
-			monotonic_time last_queries_;                   ///< When queries were sent last.
-			bool repeat_scheduled_ = false;
-			bool probes_scheduled_ = false;
 			bool subscribe_retry_scheduled_ = false;
-			bool far_probes_scheduled_ = false;
 			bool stopping_ = false;
 			monotonic_time stop_requested_;
 			monotonic_time last_caller_packet_;
