Return waiting opening packets when the upstream takes no new flows; name what is recorded

A packet that waits for a slot of an upstream that drains, is evacuated or has refused a packet cannot be served there, so it goes back to its balancer at the next check (20 ms) in place of waiting for up to 400 ms. Test: steering_overload.knows_when_waiting_is_in_vain.

The functions that began with note_ in steering say what they do: record a fact, mark an upstream, update what an agent knows, restart a listing.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -120,7 +120,7 @@
 
 	/// Sets `knows_all_flows` if the upstream did not start before the agent, so that the agent has seen all its flows.
 	/// \param started_at_ms	Unix time at which this process started.
-	void note_upstream_start(agent_state& state, const catalog& known, std::int64_t started_at_ms);
+	void update_flow_knowledge(agent_state& state, const catalog& known, std::int64_t started_at_ms);
 
 	/// How long a restarted agent looks for the entry of an upstream that restarted with it. After that time the entry
 	/// of the previous upstream has expired, so the entry that is left in the store is the valid one.
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -76,7 +76,7 @@
 	[[nodiscard]] std::vector<ipv4> unheard_agents(const balancer_state& state, const catalog& known);
 
 	/// Records the agent whose upstream holds a flow.
-	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now);
+	void record_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now);
 
 	/// Removes flows without a packet for as long as a flow can be open.
 	void expire_idle_flows(balancer_state& state, monotonic_time now);
--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -77,19 +77,19 @@
 	/// \param last_key	Last key of the page.
 	/// \param more		Whether another page follows.
 	/// \returns		Whether the listing is complete.
-	bool note_listing(store_follower& follower, std::uint64_t revision, const std::string& last_key, bool more,
-					  monotonic_time now);
+	bool record_listing_page(store_follower& follower, std::uint64_t revision, const std::string& last_key, bool more,
+							 monotonic_time now);
 
 	/// Records a complete answer to a watch.
 	/// \param changed	Whether the answer contained changes.
-	void note_watch(store_follower& follower, std::uint64_t revision, bool changed, monotonic_time now);
+	void record_watch_answer(store_follower& follower, std::uint64_t revision, bool changed, monotonic_time now);
 
 	/// Records that the store no longer has the history since `revision`, and restarts with a listing.
-	void note_history_gone(store_follower& follower, monotonic_time now);
+	void restart_listing(store_follower& follower, monotonic_time now);
 
 	/// Records a failed call and schedules a retry with exponential backoff.
 	/// \param jitter	Random value that spreads the retries of many processes.
-	void note_failure(store_follower& follower, std::uint64_t jitter, monotonic_time now);
+	void record_failure(store_follower& follower, std::uint64_t jitter, monotonic_time now);
 
 	/// Handles the revision that another process knows while a call is in progress. A store may answer some processes
 	/// and not others, and a watch whose answer was lost looks like one without changes.
--- a/include/nutmegturn/steering/upstream_gate.hpp
+++ b/include/nutmegturn/steering/upstream_gate.hpp
@@ -54,12 +54,16 @@
 	[[nodiscard]] admission_status current_admission_status(const upstream_gate& gate, const catalog& known,
 															monotonic_time now);
 
+	/// Returns whether the upstream may accept new flows now or shortly. If not, opening packets that wait for a free
+	/// slot are returned at once.
+	[[nodiscard]] bool admits_new_flows(const upstream_gate& gate, const catalog& known, monotonic_time now);
+
 	/// Records that an opening packet was forwarded to the upstream.
-	void note_delivered(upstream_gate& gate, monotonic_time now);
+	void record_delivery(upstream_gate& gate, monotonic_time now);
 
 	/// Records that the upstream answered, so it is reachable.
-	void note_answered(upstream_gate& gate, monotonic_time now);
+	void mark_reachable(upstream_gate& gate, monotonic_time now);
 
 	/// Records that the upstream's port refused a packet, because nothing listens there.
-	void note_refused(upstream_gate& gate, monotonic_time now);
+	void mark_refused(upstream_gate& gate, monotonic_time now);
 }
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -203,18 +203,21 @@
 			/// Returns an opening packet that has waited too long to its balancer.
 			void return_opening(const steering::waiting_opening& opening)
 			{
+				const auto now = node_.loop.now();
+				const auto status = current_admission_status(state_.gate, node_.catalog, now);
+				const bool admits = admits_new_flows(state_.gate, node_.catalog, now);
 				const steering::agent_reply reply{.balancer = opening.balancer,
 												  .kind = message_kind::declined,
 												  .flow = opening.flow,
-												  .why = state_.gate.stopping ? steering::admission_status::stopping
-																			  : steering::admission_status::full,
+												  .why = admits ? steering::admission_status::full : status,
 												  .with_packet = true};
 				log_decline(reply);
-				send(reply.balancer, reply.kind, reply.flow, make_load_report(state_, node_.catalog, node_.loop.now()),
+				send(reply.balancer, reply.kind, reply.flow, make_load_report(state_, node_.catalog, now),
 					 opening.packet);
 			}
 
-			/// Returns all waiting opening packets, so that no caller waits for a process that ends.
+			/// Returns all waiting opening packets, so that no caller waits for an upstream that takes no new flows or
+			/// for a process that ends.
 			void return_all_openings()
 			{
 				while (const auto opening = take_newest_opening(state_.queue))
@@ -254,6 +257,10 @@
 			void check_queue()
 			{
 				queue_check_scheduled_ = false;
+				if (!admits_new_flows(state_.gate, node_.catalog, node_.loop.now()))
+				{
+					return_all_openings();
+				}
 				for (const auto& opening : take_overdue_openings(state_.queue, node_.loop.now()))
 				{
 					return_opening(opening);
@@ -298,7 +305,7 @@
 
 			void handle_query(const message& query, ipv4 balancer)
 			{
-				note_upstream_start(state_, node_.catalog, started_at_ms_);
+				update_flow_knowledge(state_, node_.catalog, started_at_ms_);
 				const auto answers = answer_query(state_, steering::decode_flows(query.packet));
 				std::array<std::byte, steering::max_flows_per_message * steering::encoded_answer_size> encoded{};
 				const auto part = std::span{answers}.first(std::min(answers.size(), steering::max_flows_per_message));
--- a/src/node/search_runner.cpp
+++ b/src/node/search_runner.cpp
@@ -115,7 +115,7 @@
 			case search_step::action::none:
 				break;
 			case search_step::action::deliver:
-				note_holder(state_, step.flow, agent, node_.loop.now());
+				record_holder(state_, step.flow, agent, node_.loop.now());
 				for (const auto& packet : step.packets)
 				{
 					out_.send_packet(agent, message_kind::flow_packet, packet);
@@ -166,7 +166,7 @@
 		schedule_far_probes();
 	}
 
-	void search_runner::send_probes(const std::vector<steering::holder_probe>& probes)
+	void search_runner::send_probes(const std::vector<steering::holder_probe>& probes) const
 	{
 		for (const auto& probe : probes)
 		{
--- a/src/node/search_runner.hpp
+++ b/src/node/search_runner.hpp
@@ -51,7 +51,7 @@
 		void apply_search_step(const steering::search_step& step, steering::ipv4 agent);
 		void schedule_probes();
 		void send_probes();
-		void send_probes(const std::vector<steering::holder_probe>& probes);
+		void send_probes(const std::vector<steering::holder_probe>& probes) const;
 		void schedule_far_probes();
 		void send_far_probes();
 		void schedule_repeat();
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -126,7 +126,7 @@
 				log_.write(log_level::info, "store_history_gone",
 						   "metadata store no longer keeps the watched revision; listing all records again",
 						   {{"revision", std::to_string(follower_.revision)}});
-				note_history_gone(follower_, loop_.now());
+				restart_listing(follower_, loop_.now());
 				break;
 			case platform::store_response::outcome::refused:
 			case platform::store_response::outcome::malformed:
@@ -161,7 +161,7 @@
 			follower_.listed_keys.insert(record.key);
 			last_key = record.key;
 		}
-		if (note_listing(follower_, response.revision, last_key, response.has_more, loop_.now()))
+		if (record_listing_page(follower_, response.revision, last_key, response.has_more, loop_.now()))
 		{
 			finish_listing(follower_.listed_keys);
 			follower_.listed_keys.clear();
@@ -180,7 +180,7 @@
 		{
 			apply(record);
 		}
-		note_watch(follower_, response.revision, !response.records.empty(), loop_.now());
+		record_watch_answer(follower_, response.revision, !response.records.empty(), loop_.now());
 	}
 
 	void store_reader::apply(const steering::store_record& record)
@@ -271,7 +271,7 @@
 			log_.write(log_level::warning, "store_lost", "call to the metadata store failed", {{"reason", reason}});
 		}
 		connection_.close();
-		note_failure(follower_, random_(), loop_.now());
+		record_failure(follower_, random_(), loop_.now());
 		call_when_due();
 	}
 }
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -67,7 +67,7 @@
 		/// while it is not reached, an upstream has a request at hand for each slot that becomes free.
 		constexpr std::size_t queued_requests_ratio = 2;
 
-		void note_opening(agent_state& state, agent_flow& flow, monotonic_time now)
+		void record_opening(agent_state& state, agent_flow& flow, monotonic_time now)
 		{
 			while (!state.recent_openings.empty() && now - state.recent_openings.front() > first_request_window)
 			{
@@ -77,7 +77,7 @@
 			flow.first_request_due = true;
 		}
 
-		void note_first_request(agent_state& state, agent_flow& flow)
+		void record_first_request(agent_state& state, agent_flow& flow)
 		{
 			if (flow.first_request_due && !state.recent_openings.empty())
 			{
@@ -100,7 +100,7 @@
 		}
 
 		/// Records new data of the caller. The request is in progress until the upstream sends data.
-		void note_caller_data(agent_state& state, agent_flow& flow, const segment& packet)
+		void record_caller_data(agent_state& state, agent_flow& flow, const segment& packet)
 		{
 			flow.acknowledgement = packet.acknowledgement;
 			flow.caller_closed = flow.caller_closed || packet.fin;
@@ -110,7 +110,7 @@
 				flow.highest_sequence = end;
 				flow.sequence_known = true;
 				flow.request_started = flow.request_in_progress ? flow.request_started : flow.last_used;
-				note_first_request(state, flow);
+				record_first_request(state, flow);
 				set_request_in_progress(state, flow, true);
 			}
 		}
@@ -190,10 +190,10 @@
 			flow->last_balancer = balancer;
 			if (!flow->opened_here)
 			{
-				note_opening(state, *flow, now);
+				record_opening(state, *flow, now);
 			}
 			flow->opened_here = true;
-			note_delivered(state.gate, now);
+			record_delivery(state.gate, now);
 			decision.to_upstream = true;
 			return decision;
 		}
@@ -203,7 +203,7 @@
 		{
 			agent_decision decision;
 			const auto id = flow_of_caller(packet);
-			note_answered(state.gate, now);
+			mark_reachable(state.gate, now);
 			const auto found = state.flows.find(id);
 			if (found == state.flows.end())
 			{
@@ -246,7 +246,7 @@
 		{
 			return decision;
 		}
-		note_caller_data(state, *flow, packet);
+		record_caller_data(state, *flow, packet);
 		flow->last_balancer = balancer;
 		flow->from_probe = msg.kind == message_kind::probe && flow->stage == flow_stage::unconfirmed;
 		if (flow->stage != flow_stage::open)
@@ -295,7 +295,7 @@
 		return answers;
 	}
 
-	void note_upstream_start(agent_state& state, const catalog& known, std::int64_t started_at_ms)
+	void update_flow_knowledge(agent_state& state, const catalog& known, std::int64_t started_at_ms)
 	{
 		const auto* own = own_upstream(state.gate, known);
 		if (own != nullptr && own->entry.started_at_ms + common_start_window.count() >= started_at_ms)
@@ -327,7 +327,7 @@
 		}
 		agent_decision decision;
 		decision.to_caller = true;
-		note_answered(state.gate, now);
+		mark_reachable(state.gate, now);
 		const auto id = flow_of_upstream(packet);
 		auto* flow = find_or_add_flow(state, id, now);
 		if (flow == nullptr)
@@ -383,7 +383,7 @@
 		state.requests_in_progress = 0;
 		state.recent_openings.clear();
 		state.knows_all_flows = true;
-		note_refused(state.gate, now);
+		mark_refused(state.gate, now);
 		return decision;
 	}
 
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -110,7 +110,7 @@
 			return decision;
 		}
 
-		void note_opening_sent(balancer_state& state, ipv4 agent, monotonic_time now)
+		void record_opening_sent(balancer_state& state, ipv4 agent, monotonic_time now)
 		{
 			auto& load = state.loads[agent];
 			++load.flows_since_report;
@@ -144,7 +144,7 @@
 				return reject(steering_decision::action::reset, why);
 			}
 			flow.holder = chosen->entry.address.ip;
-			note_opening_sent(state, flow.holder, now);
+			record_opening_sent(state, flow.holder, now);
 			return forward(message_kind::open, service, flow.holder);
 		}
 
@@ -183,7 +183,7 @@
 			return decision;
 		}
 
-		void note_load(balancer_state& state, const message& msg, ipv4 agent, monotonic_time now)
+		void record_load(balancer_state& state, const message& msg, ipv4 agent, monotonic_time now)
 		{
 			auto& load = state.loads[agent];
 			load.report = msg.load;
@@ -297,7 +297,7 @@
 		return agents;
 	}
 
-	void note_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
+	void record_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
 	{
 		if (state.flows.size() >= max_balancer_flows && !state.flows.contains(id))
 		{
@@ -314,17 +314,17 @@
 	steering_decision handle_agent_message(balancer_state& state, const catalog& known, const message& msg,
 										   const segment* packet, ipv4 agent, monotonic_time now)
 	{
-		note_load(state, msg, agent, now);
+		record_load(state, msg, agent, now);
 		if (msg.kind == message_kind::held)
 		{
-			note_holder(state, msg.flow, agent, now);
+			record_holder(state, msg.flow, agent, now);
 			return {};
 		}
 		if (msg.kind == message_kind::held_flows)
 		{
 			for (const auto& id : decode_flows(msg.packet))
 			{
-				note_holder(state, id, agent, now);
+				record_holder(state, id, agent, now);
 			}
 			return {};
 		}
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -10,7 +10,7 @@
 		constexpr std::chrono::milliseconds max_retry_delay{1'000};
 		constexpr std::uint32_t max_retry_doublings = 3;
 
-		void note_answer(store_follower& follower, monotonic_time now) noexcept
+		void record_answer(store_follower& follower, monotonic_time now) noexcept
 		{
 			if (follower.unreachable)
 			{
@@ -24,10 +24,10 @@
 		}
 	}
 
-	bool note_listing(store_follower& follower, std::uint64_t revision, const std::string& last_key, bool more,
-					  monotonic_time now)
+	bool record_listing_page(store_follower& follower, std::uint64_t revision, const std::string& last_key, bool more,
+							 monotonic_time now)
 	{
-		note_answer(follower, now);
+		record_answer(follower, now);
 		if (follower.last_key.empty())
 		{
 			follower.first_page_revision = revision;
@@ -44,22 +44,22 @@
 		return true;
 	}
 
-	void note_watch(store_follower& follower, std::uint64_t revision, bool changed, monotonic_time now)
+	void record_watch_answer(store_follower& follower, std::uint64_t revision, bool changed, monotonic_time now)
 	{
-		note_answer(follower, now);
+		record_answer(follower, now);
 		follower.revision = std::max(follower.revision, revision);
 		follower.next_call_at = changed ? now + follower.coalescing_delay : now;
 	}
 
-	void note_history_gone(store_follower& follower, monotonic_time now)
+	void restart_listing(store_follower& follower, monotonic_time now)
 	{
-		note_answer(follower, now);
+		record_answer(follower, now);
 		follower.next = store_follower::step::list;
 		follower.last_key.clear();
 		follower.listed_keys.clear();
 	}
 
-	void note_failure(store_follower& follower, std::uint64_t jitter, monotonic_time now)
+	void record_failure(store_follower& follower, std::uint64_t jitter, monotonic_time now)
 	{
 		follower.unreachable = true;
 		const auto retry_delay =
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -127,7 +127,13 @@
 		return state;
 	}
 
-	void note_delivered(upstream_gate& gate, monotonic_time now)
+	bool admits_new_flows(const upstream_gate& gate, const catalog& known, monotonic_time now)
+	{
+		const auto status = current_admission_status(gate, known, now);
+		return status == admission_status::accepting || status == admission_status::cold;
+	}
+
+	void record_delivery(upstream_gate& gate, monotonic_time now)
 	{
 		while (!gate.recent_admissions.empty() && now - gate.recent_admissions.front() >= admission_window)
 		{
@@ -140,7 +146,7 @@
 		}
 	}
 
-	void note_answered(upstream_gate& gate, monotonic_time now)
+	void mark_reachable(upstream_gate& gate, monotonic_time now)
 	{
 		if (is_unreachable(gate, now))
 		{
@@ -151,7 +157,7 @@
 		gate.unanswered_since = {};
 	}
 
-	void note_refused(upstream_gate& gate, monotonic_time now)
+	void mark_refused(upstream_gate& gate, monotonic_time now)
 	{
 		gate.refused_at = now;
 	}
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -269,9 +269,9 @@
 			auto own = entry(1, "desk", "a");
 			own.started_at_ms = 5'000'000;
 			put(known, "u1", own);
-			note_upstream_start(state, known, 5'060'000);
+			update_flow_knowledge(state, known, 5'060'000);
 			EXPECT_FALSE(state.knows_all_flows) << "the upstream started before the agent";
-			note_upstream_start(state, known, 5'000'900);
+			update_flow_knowledge(state, known, 5'000'900);
 			EXPECT_TRUE(state.knows_all_flows);
 		}
 
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -113,8 +113,8 @@
 		// Guards against changes that are lost between the pages of a listing.
 		TEST_F(steering_store_follower, watches_from_revision_of_first_page)
 		{
-			EXPECT_FALSE(note_listing(it, 10, "k5", true, start));
-			EXPECT_TRUE(note_listing(it, 14, "k9", false, start));
+			EXPECT_FALSE(record_listing_page(it, 10, "k5", true, start));
+			EXPECT_TRUE(record_listing_page(it, 14, "k9", false, start));
 			EXPECT_EQ(it.next, store_follower::step::watch);
 			EXPECT_EQ(it.revision, 10U);
 		}
@@ -122,19 +122,19 @@
 		// Guards against missed changes after the store dropped the history.
 		TEST_F(steering_store_follower, lists_again_when_history_is_gone)
 		{
-			note_listing(it, 10, "", false, start);
-			note_history_gone(it, start);
+			record_listing_page(it, 10, "", false, start);
+			restart_listing(it, start);
 			EXPECT_EQ(it.next, store_follower::step::list);
 		}
 
 		// Guards against flooding a store that is down with calls.
 		TEST_F(steering_store_follower, backs_off_after_each_failure_up_to_about_a_second)
 		{
-			note_failure(it, 0, start);
+			record_failure(it, 0, start);
 			EXPECT_EQ(it.next_call_at, start + 200ms);
 			for (int i = 0; i < 10; ++i)
 			{
-				note_failure(it, 99, start);
+				record_failure(it, 99, start);
 			}
 			EXPECT_EQ(it.next_call_at, start + 1'099ms);
 		}
@@ -143,13 +143,13 @@
 		// dropped without an answer, while it answers others.
 		TEST_F(steering_store_follower, gives_up_call_when_others_know_newer_revision)
 		{
-			note_listing(it, 10, "", false, start);
+			record_listing_page(it, 10, "", false, start);
 			auto now = start + 5s;
 			EXPECT_FALSE(is_answer_overdue(it, 10, now));
 			EXPECT_FALSE(is_answer_overdue(it, 12, now)) << "the answer may be on its way";
 			EXPECT_FALSE(is_answer_overdue(it, 12, now + call_timeout));
 			EXPECT_TRUE(is_answer_overdue(it, 12, now + call_timeout + 1ms));
-			note_watch(it, 12, true, now + 2s);
+			record_watch_answer(it, 12, true, now + 2s);
 			EXPECT_FALSE(is_answer_overdue(it, 13, now + 2s)) << "the time of the former revision is over";
 		}
 
@@ -157,23 +157,23 @@
 		TEST_F(steering_store_follower, gives_up_no_call_in_pause_or_outage)
 		{
 			it.coalescing_delay = 1s;
-			note_listing(it, 10, "", false, start);
-			note_watch(it, 11, true, start);
+			record_listing_page(it, 10, "", false, start);
+			record_watch_answer(it, 11, true, start);
 			EXPECT_FALSE(is_answer_overdue(it, 12, start));
 			EXPECT_FALSE(is_answer_overdue(it, 12, start + call_timeout + 1ms)) << "the next call began after a second";
-			note_failure(it, 0, start + 2s);
+			record_failure(it, 0, start + 2s);
 			EXPECT_FALSE(is_answer_overdue(it, 12, start + 10s));
 		}
 
 		// Guards against relying on the store's contents while expired entries are still being renewed.
 		TEST_F(steering_store_follower, is_settling_until_entries_had_time_to_return)
 		{
-			note_listing(it, 10, "", false, start);
+			record_listing_page(it, 10, "", false, start);
 			EXPECT_FALSE(is_settling(it, start));
-			note_failure(it, 0, start);
+			record_failure(it, 0, start);
 			EXPECT_TRUE(is_settling(it, start));
 			EXPECT_FALSE(is_current(it, start));
-			note_watch(it, 11, true, start + 5s);
+			record_watch_answer(it, 11, true, start + 5s);
 			EXPECT_TRUE(is_settling(it, start + 7s));
 			EXPECT_FALSE(is_settling(it, start + 8s));
 			EXPECT_TRUE(is_current(it, start + 8s));
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -30,6 +30,18 @@
 													.target = 150ms,
 													.length = 1'500ms};
 
+		/// Returns an opening packet that begins to wait at `now`.
+		waiting_opening waiting(const flow_id& id, std::uint32_t copy, monotonic_time now)
+		{
+			return {.flow = id,
+					.balancer = ipv4{1},
+					.service = {},
+					.version = 3,
+					.packet = {},
+					.opened_at = now - age_of_copy(copy),
+					.queued_at = now};
+		}
+
 		/// Takes the next waiting opening packet.
 		using queue_order = std::function<std::optional<waiting_opening>(opening_queue&)>;
 
@@ -80,13 +92,7 @@
 					handle_balancer_packet(state, known, about_flow(message_kind::open), packet, ipv4{1}, now);
 				if (decision.waits)
 				{
-					add_opening(state.queue, {.flow = flow_of_caller(packet),
-											  .balancer = ipv4{1},
-											  .service = {},
-											  .version = 3,
-											  .packet = {},
-											  .opened_at = now - age_of_copy(copy),
-											  .queued_at = now});
+					add_opening(state.queue, waiting(flow_of_caller(packet), copy, now));
 				}
 				if (decision.to_upstream)
 				{
@@ -169,13 +175,7 @@
 			std::optional<waiting_opening> add(std::uint32_t caller, std::uint32_t copy = 0)
 			{
 				const flow_id id{.caller = {.ip = ipv4{caller}, .port = 1}, .route = route_address};
-				return add_opening(queue, {.flow = id,
-										   .balancer = ipv4{1},
-										   .service = {},
-										   .version = 3,
-										   .packet = {},
-										   .opened_at = now - age_of_copy(copy),
-										   .queued_at = now});
+				return add_opening(queue, waiting(id, copy, now));
 			}
 
 			std::optional<ipv4> take()
@@ -214,6 +214,23 @@
 			EXPECT_FALSE(is_saturated(upstream.state, upstream.known, now));
 		}
 
+		// Guards against callers that wait for a free slot of an upstream that is known to take no new flows.
+		TEST_F(steering_overload, knows_when_waiting_is_in_vain)
+		{
+			overloaded_upstream upstream{after_power_loss, take_newest_opening};
+			auto& gate = upstream.state.gate;
+			EXPECT_TRUE(admits_new_flows(gate, upstream.known, now));
+			put(upstream.known, "evacuate/a", zone_evacuation{.zone = "a"});
+			EXPECT_FALSE(admits_new_flows(gate, upstream.known, now));
+			put(upstream.known, "evacuate/a", removed_record{});
+			EXPECT_TRUE(admits_new_flows(gate, upstream.known, now));
+			mark_refused(gate, now);
+			EXPECT_FALSE(admits_new_flows(gate, upstream.known, now));
+			mark_reachable(gate, now);
+			gate.stopping = true;
+			EXPECT_FALSE(admits_new_flows(gate, upstream.known, now));
+		}
+
 		// Guards against callers that are late already and take the slots of new ones.
 		TEST_F(steering_overload, orders_packets_by_first_copy)
 		{
