--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -200,7 +200,7 @@
 				schedule_queue_check();
 			}
 
-			/// Returns an opening packet that has waited too long to its balancer.
+			/// Returns a waiting opening packet to its balancer, which tries another upstream or rejects the flow.
 			void return_opening(const steering::waiting_opening& opening)
 			{
 				const auto now = node_.loop.now();
