--- a/fuzz/steering_message.cpp
+++ b/fuzz/steering_message.cpp
@@ -6,6 +6,7 @@
 #include <fmt/core.h>
 
 #include <algorithm>
+#include <array>
 #include <cstdlib>
 
 namespace
@@ -58,7 +59,8 @@
 			static_cast<void>(handle_query_answer(search, agent, answer, now, true));
 		}
 		static_cast<void>(take_queries(search));
-		static_cast<void>(take_probes(search));
+		static_cast<void>(take_probes(search, std::array{agent}, now));
+		static_cast<void>(take_far_probes(search, now));
 		for (const auto& id : denied_flows(search))
 		{
 			static_cast<void>(confirm_denied(search, id, {}, now, true));
