--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -36,6 +36,7 @@
 		std::vector<ipv4> agents;
 		std::vector<ipv4> required;
 		reason why = reason::none;
+		std::string upstream_key; ///< Key of the entry by which a new flow was placed.
 	};
 
 	/// State of a balancer.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -390,6 +390,7 @@
 				if (decision.to_upstream)
 				{
 					node_.metrics.add(counter::packets_received);
+					log_admission(packet);
 					log_request(packet, bytes);
 					to_upstream_->add(to_endpoint(node_.settings.upstream), bytes);
 				}
@@ -409,6 +410,29 @@
 				}
 			}
 
+			/// Logs that an opening packet goes to the upstream, with the entry that allows it.
+			void log_admission(const segment& packet)
+			{
+				if (!packet.syn)
+				{
+					return;
+				}
+				const auto now = node_.loop.now();
+				const auto* own = own_upstream(state_.gate, node_.catalog);
+				const auto flow = flow_of_caller(packet);
+				node_.log.write(log_level::info, "flow_admitted", "flow admitted; opening packet sent to the upstream",
+								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+								 {"entry", own == nullptr ? "unknown" : own->key},
+								 {"entry_age_ms", own == nullptr ? "unknown" : age_ms(own->changed_at, now)},
+								 {"store_answer_age_ms", age_ms(node_.upstreams_reader.state().last_answer, now)},
+								 {"version", std::to_string(node_.catalog.version)}});
+			}
+
+			[[nodiscard]] static std::string age_ms(monotonic_time since, monotonic_time now)
+			{
+				return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+			}
+
 			/// Logs the id of a request with its flow. The id is read for logging only.
 			void log_request(const segment& packet, std::span<const std::byte> bytes)
 			{
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -252,6 +252,7 @@
 								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
 								 {"copy", std::to_string(packet.acknowledgement)},
 								 {"agent", to_string(agent)},
+								 {"entry", decision.upstream_key},
 								 {"at_work", std::to_string(load.report.requests_in_progress)},
 								 {"failing_percent", std::to_string(load.report.failure_percent)},
 								 {"load_age_ms", reported ? std::to_string(age.count()) : "unknown"},
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -19,7 +19,13 @@
 
 		[[nodiscard]] steering_decision reject(steering_decision::action what, reason why)
 		{
-			return {.what = what, .kind = {}, .service = {}, .agents = {}, .required = {}, .why = why};
+			return {.what = what,
+					.kind = {},
+					.service = {},
+					.agents = {},
+					.required = {},
+					.why = why,
+					.upstream_key = {}};
 		}
 
 		[[nodiscard]] steering_decision forward(message_kind kind, service_key service, ipv4 agent)
@@ -29,7 +35,8 @@
 					.service = service,
 					.agents = {agent},
 					.required = {},
-					.why = reason::none};
+					.why = reason::none,
+					.upstream_key = {}};
 		}
 
 		void add_if_absent(std::vector<ipv4>& found, ipv4 instance)
@@ -145,7 +152,9 @@
 			}
 			flow.holder = chosen->entry.address.ip;
 			record_opening_sent(state, flow.holder, now);
-			return forward(message_kind::open, service, flow.holder);
+			auto decision = forward(message_kind::open, service, flow.holder);
+			decision.upstream_key = chosen->key;
+			return decision;
 		}
 
 		[[nodiscard]] steering_decision steer_opening(balancer_state& state, const catalog& known,
