Place no flows by the entry of an upstream's former run

Callers' requests reached an upstream more than 3 s after it had said that it leaves. An upstream that restarts registers under a new ID; its former entry stays listed as ready until its lease ends, and then had a grace period of 2 s. Balancers placed flows by that entry at the address where the new run was draining already, and its agent admitted them.

The catalog marks an entry as superseded when another one registered later at the same address. Such an entry accepts no new flows, with or without a lease. The order of registrations (the revision at which the store created the key) decides; start times decide only where it is unknown, since clocks of instances may be set back. The agent's own entry is chosen by the same order.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -34,6 +34,8 @@
 		std::string key;
 		upstream_entry entry;
 		service_key service{};
+		std::uint64_t registered = 0; ///< Revision at which the upstream registered under this key.
+		bool superseded = false;      ///< Another upstream registered later at the same address, so this one has ended.
 		monotonic_time changed_at;    ///< Last observed change of the entry.
 		bool listed = true;           ///< The entry is present in the store.
 		monotonic_time removed_at;    ///< When the entry was found to be missing.
@@ -100,7 +102,12 @@
 	/// Removes upstreams and former services of routes after `former_upstream_retention`.
 	void expire_former(catalog& known, monotonic_time now);
 
-	/// Returns whether an upstream accepts new flows according to the store.
+	/// Returns whether `a` registered later than `b`. Only upstreams of one address are compared. The order of
+	/// registrations decides, since clocks of instances may be set back; start times decide if it is unknown.
+	[[nodiscard]] bool registered_later(const known_upstream& a, const known_upstream& b) noexcept;
+
+	/// Returns whether an upstream accepts new flows according to the store. An upstream that restarts registers under
+	/// a new ID while its former entry is still listed; the former entry accepts none.
 	[[nodiscard]] bool accepts_new_flows(const catalog& known, const known_upstream& upstream, monotonic_time now);
 
 	/// Returns the instances of the upstreams in an availability zone, including upstreams that left the store.
--- a/include/nutmegturn/steering/records.hpp
+++ b/include/nutmegturn/steering/records.hpp
@@ -86,7 +86,8 @@
 	struct store_record
 	{
 		std::string key;
-		std::uint64_t revision = 0;
+		std::uint64_t revision = 0; ///< Of the key's last change.
+		std::uint64_t created = 0;  ///< Revision of the key's creation; 0 if unknown.
 		record_value value;
 		std::string encoded; ///< The record as the store sent it, to relay it to other processes.
 	};
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -490,18 +490,8 @@
 
 			[[nodiscard]] std::uint32_t slots() const
 			{
-				const auto found = node_.catalog.by_service.find(state_.gate.service);
-				if (found != node_.catalog.by_service.end())
-				{
-					for (const auto* upstream : found->second)
-					{
-						if (upstream->entry.address.ip == node_.settings.instance)
-						{
-							return upstream->entry.slots;
-						}
-					}
-				}
-				return 1;
+				const auto* own = own_upstream(state_.gate, node_.catalog);
+				return own == nullptr ? 1 : own->entry.slots;
 			}
 
 			void report_load()
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -19,13 +19,8 @@
 
 		[[nodiscard]] steering_decision reject(steering_decision::action what, reason why)
 		{
-			return {.what = what,
-					.kind = {},
-					.service = {},
-					.agents = {},
-					.required = {},
-					.why = why,
-					.upstream_key = {}};
+			return {
+				.what = what, .kind = {}, .service = {}, .agents = {}, .required = {}, .why = why, .upstream_key = {}};
 		}
 
 		[[nodiscard]] steering_decision forward(message_kind kind, service_key service, ipv4 agent)
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <array>
+#include <tuple>
 
 namespace nutmegturn::steering
 {
@@ -24,6 +25,25 @@
 			}
 		}
 
+		void mark_superseded(catalog& known)
+		{
+			std::map<ipv4_endpoint, known_upstream*> latest;
+			for (auto& [key, it] : known.upstreams)
+			{
+				auto& newest = latest[it.entry.address];
+				const bool is_newest = newest == nullptr || registered_later(it, *newest);
+				it.superseded = !is_newest;
+				if (is_newest)
+				{
+					if (newest != nullptr)
+					{
+						newest->superseded = true;
+					}
+					newest = &it;
+				}
+			}
+		}
+
 		record_effect remove_record(catalog& known, const std::string& key, monotonic_time now)
 		{
 			if (const auto it = known.upstreams.find(key); it != known.upstreams.end())
@@ -55,11 +75,14 @@
 			known.upstreams[record.key] = {.key = record.key,
 										   .entry = entry,
 										   .service = key_of_service(entry.service),
+										   .registered = record.created,
+										   .superseded = false,
 										   .changed_at = now,
 										   .listed = true,
 										   .removed_at = {},
 										   .grace_until = {}};
 			rebuild_index(known);
+			mark_superseded(known);
 			return added ? record_effect::upstream_added : record_effect::upstream_changed;
 		}
 
@@ -209,6 +232,7 @@
 		if (n > 0)
 		{
 			rebuild_index(known);
+			mark_superseded(known);
 		}
 		for (auto& [address, route] : known.routes)
 		{
@@ -217,9 +241,14 @@
 		}
 	}
 
+	bool registered_later(const known_upstream& a, const known_upstream& b) noexcept
+	{
+		return std::tie(a.registered, a.entry.started_at_ms) > std::tie(b.registered, b.entry.started_at_ms);
+	}
+
 	bool accepts_new_flows(const catalog& known, const known_upstream& upstream, monotonic_time now)
 	{
-		if (!upstream.listed && now >= upstream.grace_until)
+		if (upstream.superseded || (!upstream.listed && now >= upstream.grace_until))
 		{
 			return false;
 		}
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -48,7 +48,7 @@
 		for (const auto* it : found->second)
 		{
 			const bool own = it->entry.address.ip == gate.instance;
-			if (own && (latest == nullptr || it->entry.started_at_ms > latest->entry.started_at_ms))
+			if (own && (latest == nullptr || registered_later(*it, *latest)))
 			{
 				latest = it;
 			}
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -67,6 +67,45 @@
 			EXPECT_FALSE(accepts("u1"));
 		}
 
+		class steering_catalog_restart : public steering_catalog
+		{
+		protected:
+			/// Registers an upstream at the address of `u1` under another key.
+			void register_again(const std::string& key, std::uint64_t created, upstream_entry made,
+								monotonic_time now = start)
+			{
+				const store_record record{
+					.key = key, .revision = created, .created = created, .value = std::move(made), .encoded = {}};
+				apply_record(known, record_group::upstreams, record, now);
+			}
+		};
+
+		// Guards against requests at a draining upstream that restarted shortly before: its former entry, still listed
+		// as ready, hid that the new one was draining.
+		TEST_F(steering_catalog_restart, places_no_flows_by_entry_of_former_run)
+		{
+			auto leaving = entry(1, "desk", "a");
+			leaving.readiness = upstream_readiness::draining;
+			register_again("u9", 50, leaving);
+			EXPECT_FALSE(accepts("u1"));
+			EXPECT_FALSE(accepts("u9"));
+			put(known, "u1", removed_record{});
+			EXPECT_FALSE(accepts("u1")) << "the former entry has no grace period";
+		}
+
+		// Guards against an upstream that gets no flows because its clock was set back before its restart.
+		TEST_F(steering_catalog_restart, prefers_later_registration_to_later_start_time)
+		{
+			auto former = entry(1, "desk", "a");
+			former.started_at_ms = 9'000;
+			register_again("u8", 50, former);
+			auto present = entry(1, "desk", "a");
+			present.started_at_ms = 8'000;
+			register_again("u7", 51, present);
+			EXPECT_TRUE(accepts("u7"));
+			EXPECT_FALSE(accepts("u8"));
+		}
+
 		// Guards against searches that miss the holder, as an upstream without an entry still has its flows.
 		TEST_F(steering_catalog, keeps_upstream_without_entry_as_possible_holder_for_flow_lifetime)
 		{
