List all entries again when an agent watches more than its own

An agent did not know the entry of its upstream's present run, declined flows after the former entry had expired, and could not see that the present run was draining. The agent watches only its own entry; each answer advances its revision past changes of other keys. When the entry is removed the agent watches the whole group from that revision, and never reads what was skipped. A reader whose scope changes now lists the group first.

--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -84,6 +84,9 @@
 	/// \param changed	Whether the answer contained changes.
 	void record_watch_answer(store_follower& follower, std::uint64_t revision, bool changed, monotonic_time now);
 
+	/// Continues with a listing at once instead of a watch.
+	void list_again(store_follower& follower, monotonic_time now) noexcept;
+
 	/// Records that the store no longer has the history since `revision`, and restarts with a listing.
 	void restart_listing(store_follower& follower, monotonic_time now);
 
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -148,6 +148,11 @@
 			return;
 		}
 		auto scope = watch_scope_selector_();
+		if (!only_key_.empty() && scope.key != only_key_)
+		{
+			// The watch of one key has advanced the revision past changes of other keys.
+			list_again(follower_, loop_.now());
+		}
 		only_key_ = std::move(scope.key);
 		follower_.coalescing_delay = scope.coalescing_delay;
 	}
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -51,14 +51,20 @@
 		follower.next_call_at = changed ? now + follower.coalescing_delay : now;
 	}
 
-	void restart_listing(store_follower& follower, monotonic_time now)
+	void list_again(store_follower& follower, monotonic_time now) noexcept
 	{
-		record_answer(follower, now);
+		follower.next_call_at = now;
 		follower.next = store_follower::step::list;
 		follower.last_key.clear();
 		follower.listed_keys.clear();
 	}
 
+	void restart_listing(store_follower& follower, monotonic_time now)
+	{
+		record_answer(follower, now);
+		list_again(follower, now);
+	}
+
 	void record_failure(store_follower& follower, std::uint64_t jitter, monotonic_time now)
 	{
 		follower.unreachable = true;
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -5,6 +5,8 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <string>
+#include <vector>
 
 namespace nutmegturn::node
 {
@@ -26,7 +28,12 @@
 			node_log log{"test"};
 			steering::catalog known;
 			std::deque<status_response> answers; ///< Of the store; the last one is repeated.
-			status_server store{loop, [this](std::string_view) { return next_answer(); }};
+			std::vector<std::string> calls;      ///< Targets of the calls so far.
+			status_server store{loop, [this](std::string_view target)
+								{
+									calls.emplace_back(target);
+									return next_answer();
+								}};
 			endpoint address = *parse_endpoint("127.0.0.1:17431");
 
 			status_response next_answer()
@@ -75,5 +82,29 @@
 			EXPECT_NE(served.find("servers/stays"), std::string::npos) << served;
 			EXPECT_EQ(served.find("servers/left"), std::string::npos) << served;
 		}
+
+		// Guards against an agent that does not know its upstream's new entry. A watch of one key advances the revision
+		// past changes of other keys; a watch of the whole group from that revision skipped them.
+		TEST_F(store_reader_on_loopback, lists_again_when_it_watches_more_than_before)
+		{
+			answers = {
+				{.status = 200,
+				 .body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":9}})", item("servers/former", 8))},
+				{.status = 200,
+				 .body = R"({"events":[{"key":"servers/former","revision":12,"removed":true}],"as_of":12})"},
+				{.status = 200,
+				 .body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":12}})", item("servers/present", 10))},
+				{.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			reader.set_watch_scope_selector(
+				[this] {
+					return steering::watch_scope{.key = calls.size() < 2 ? "servers/former" : "",
+												 .coalescing_delay = 1ms};
+				});
+			read(reader);
+			ASSERT_GE(calls.size(), 3U);
+			EXPECT_TRUE(calls[1].starts_with("/kv-watch?prefix=servers/former&")) << calls[1];
+			EXPECT_TRUE(calls[2].starts_with("/kv-range?prefix=servers/")) << calls[2];
+		}
 	}
 }
