Watch all entries when an agent's upstream has restarted

An agent kept admitting flows by the entry of its upstream's former run until that entry's lease ended, as it watched no other. It is the last check for draining, whatever a balancer believes, so it has to see the new entry.

An agent now takes three things as the end of a run: the port refuses a packet, an open flow's packet comes back, or an upstream without any request returns an opening packet.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -30,6 +30,7 @@
 		bool sequence_known = false;        ///< `highest_sequence` is valid.
 		std::uint32_t highest_sequence = 0; ///< End of the caller's newest data.
 		std::uint32_t acknowledgement = 0;  ///< The caller's newest; a reset needs a sequence number near it.
+		monotonic_time added_at;            ///< Creation of this entry.
 		monotonic_time last_used;
 		std::vector<ipv4> waiting_balancers; ///< Balancers to notify whether the upstream holds the flow.
 		ipv4 last_balancer{};                ///< Balancer that sent the last packet.
@@ -131,7 +132,8 @@
 	/// Load pattern: after a power loss the store still lists the previous upstreams, and the new ones register under
 	/// other keys. An agent that watches the old key learns of its new upstream only when the old entry expires,
 	/// seconds later. Until then it cannot answer `not_held`, so every flow is probed at every upstream and callers
-	/// wait. An agent that knows all flows is not in a hurry.
+	/// wait. An agent that knows all flows is not in a hurry. When the upstream restarts while its agent runs, the
+	/// former entry says nothing about the new run either, for example that it is draining.
 	///
 	/// \param started_at_ms	Unix time at which this process started.
 	/// \returns				The key of its upstream's entry, or the whole group while that entry may be outdated.
--- a/include/nutmegturn/steering/upstream_gate.hpp
+++ b/include/nutmegturn/steering/upstream_gate.hpp
@@ -15,11 +15,13 @@
 		bool stopping = false;
 		monotonic_time started;                       ///< Start of this process.
 		std::deque<monotonic_time> recent_admissions; ///< New flows of the last second, oldest first.
-		monotonic_time refused_at{};       ///< When the upstream's port last refused a packet; the epoch if none.
-		monotonic_time unanswered_since{}; ///< Oldest opening packet without an answer; the epoch if none.
-		monotonic_time last_trial{};       ///< Last opening packet admitted while the upstream was unreachable.
-		bool recovered = false;            ///< The upstream answered again after it was unreachable.
-		monotonic_time recovered_at{};     ///< Time of the last such recovery.
+		monotonic_time refused_at{};        ///< When the upstream's port last refused a packet; the epoch if none.
+		monotonic_time unanswered_since{};  ///< Oldest opening packet without an answer; the epoch if none.
+		monotonic_time last_trial{};        ///< Last opening packet admitted while the upstream was unreachable.
+		monotonic_time ended_run_at{};      ///< A run of the upstream that was up at this time has ended.
+		monotonic_time ended_run_seen_at{}; ///< When the process found that out.
+		bool recovered = false;             ///< The upstream answered again after it was unreachable.
+		monotonic_time recovered_at{};      ///< Time of the last such recovery.
 	};
 
 	/// An upstream that leaves an opening packet unanswered for this long is unreachable.
@@ -64,6 +66,9 @@
 	/// Records that the upstream answered, so it is reachable.
 	void mark_reachable(upstream_gate& gate, monotonic_time now);
 
+	/// Records that a run of the upstream that was up at `run_at` has ended.
+	void record_ended_run(upstream_gate& gate, monotonic_time run_at, monotonic_time now);
+
 	/// Records that the upstream's port refused a packet, because nothing listens there.
 	void mark_refused(upstream_gate& gate, monotonic_time now);
 }
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -501,6 +501,7 @@
 				{
 					send_held_flows(notice);
 				}
+				node_.upstreams_reader.widen_watch();
 				const auto report = make_load_report(state_, node_.catalog, now);
 				if (load_report_due(state_, report, slots(), now))
 				{
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -63,6 +63,18 @@
 		}
 	}
 
+	void store_reader::widen_watch()
+	{
+		const bool watches_key =
+			call_timer_ == 0 && !only_key_.empty() && follower_.next == store_follower::step::watch;
+		if (watches_key && watch_scope_selector_().key.empty())
+		{
+			connection_.close();
+			update_watch_scope();
+			call();
+		}
+	}
+
 	void store_reader::refresh()
 	{
 		if (call_timer_ != 0 && !follower_.unreachable)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -31,6 +31,9 @@
 			follower_.watch_wait = steering::agent_watch_wait;
 		}
 
+		/// Ends a pending watch of one key if the scope is now the whole group, and lists the group.
+		void widen_watch();
+
 		/// Handles the newest revision of the group that another process knows. A call whose answer is overdue by it is
 		/// repeated.
 		void handle_known_revision(std::uint64_t revision);
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -156,7 +156,9 @@
 			{
 				return nullptr;
 			}
-			auto& flow = found == state.flows.end() ? state.flows[id] : found->second;
+			const bool is_new = found == state.flows.end();
+			auto& flow = is_new ? state.flows[id] : found->second;
+			flow.added_at = is_new ? now : flow.added_at;
 			flow.last_used = now;
 			return &flow;
 		}
@@ -198,6 +200,12 @@
 			return decision;
 		}
 
+		/// Returns whether an upstream that returns a packet of this flow has lost it, as it does when it restarts.
+		[[nodiscard]] bool is_lost_by_upstream(const agent_flow& flow) noexcept
+		{
+			return flow.stage == flow_stage::open && !flow.caller_closed && !flow.upstream_closed;
+		}
+
 		[[nodiscard]] agent_decision handle_bounced_packet(agent_state& state, const segment& packet,
 														   monotonic_time now)
 		{
@@ -216,12 +224,21 @@
 			}
 			if (packet.syn)
 			{
+				if (state.requests_in_progress == 0)
+				{
+					// An upstream without any request is not full; it is down, or has just restarted.
+					record_ended_run(state.gate, now, now);
+				}
 				reply_to_waiting_balancers(decision, found->second, id, message_kind::declined, admission_status::full,
 										   true);
 			}
 			else
 			{
 				const bool from_probe = found->second.from_probe;
+				if (is_lost_by_upstream(found->second))
+				{
+					record_ended_run(state.gate, found->second.added_at, now);
+				}
 				add_waiting_balancer(found->second, found->second.last_balancer);
 				reply_to_waiting_balancers(decision, found->second, id, message_kind::not_held,
 										   admission_status::accepting, !from_probe);
@@ -311,7 +328,9 @@
 		const bool listed = own != nullptr && own->listed;
 		const bool started_together = listed && own->entry.started_at_ms + common_start_window.count() >= started_at_ms;
 		const bool settled = state.upstream_is_older || now - state.gate.started >= identification_time;
-		if (started_together || (listed && settled))
+		const bool ended = listed && state.gate.ended_run_at >= own->changed_at &&
+						   now - state.gate.ended_run_seen_at < identification_time;
+		if (!ended && (started_together || (listed && settled)))
 		{
 			return {.key = own->key, .coalescing_delay = agent_coalescing_delay};
 		}
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -157,8 +157,18 @@
 		gate.unanswered_since = {};
 	}
 
+	void record_ended_run(upstream_gate& gate, monotonic_time run_at, monotonic_time now)
+	{
+		if (run_at > gate.ended_run_at)
+		{
+			gate.ended_run_at = run_at;
+			gate.ended_run_seen_at = now;
+		}
+	}
+
 	void mark_refused(upstream_gate& gate, monotonic_time now)
 	{
 		gate.refused_at = now;
+		record_ended_run(gate, now, now);
 	}
 }
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -367,6 +367,74 @@
 			EXPECT_EQ(part().coalescing_delay, agent_coalescing_delay);
 		}
 
+		class steering_agent_upstream_restart : public steering_agent_restart
+		{
+		protected:
+			void SetUp() override
+			{
+				steering_agent_restart::SetUp();
+				now += identification_time;
+				open_flow();
+				ASSERT_EQ(part().key, "u1");
+				now += 1s;
+			}
+
+			/// Registers the new run of the upstream under another key.
+			void register_new_run()
+			{
+				auto present = entry(1, "desk", "a");
+				present.started_at_ms = started_at_ms + 20'000;
+				put(known, "u9", present, now);
+			}
+		};
+
+		// Guards against flows at a draining upstream that restarted while its agent ran: the agent watched the entry
+		// of the former run only.
+		TEST_F(steering_agent_upstream_restart, watches_all_entries_after_port_refused)
+		{
+			EXPECT_FALSE(handle_connection_refused(state, now).resets.empty());
+			EXPECT_EQ(part().key, "");
+			now += 500ms;
+			register_new_run();
+			EXPECT_EQ(part().key, "u9");
+		}
+
+		// Guards against a restart that goes unnoticed because no packet arrived while the upstream was down.
+		TEST_F(steering_agent_upstream_restart, watches_all_entries_after_upstream_lost_open_flow)
+		{
+			auto back = data();
+			back.bounced = true;
+			upstream(back);
+			EXPECT_EQ(part().key, "");
+			now += 500ms;
+			register_new_run();
+			EXPECT_EQ(part().key, "u9");
+		}
+
+		// Guards against the same where the upstream closed its flows before it ended, so that none was lost.
+		TEST_F(steering_agent_upstream_restart, watches_all_entries_after_idle_upstream_returned_opening_packet)
+		{
+			auto next = opening();
+			next.source.port = 50'000;
+			packet(message_kind::open, next);
+			next.bounced = true;
+			upstream(next);
+			EXPECT_EQ(part().key, "");
+			now += 500ms;
+			register_new_run();
+			EXPECT_EQ(part().key, "u9");
+		}
+
+		// Guards against an agent that watches all entries forever because its upstream lost a flow without a restart.
+		TEST_F(steering_agent_upstream_restart, watches_its_entry_again_without_new_registration)
+		{
+			auto back = data();
+			back.bounced = true;
+			upstream(back);
+			now += identification_time;
+			EXPECT_EQ(part().key, "u1");
+		}
+
 		class steering_agent_shutdown : public steering_agent
 		{
 		protected:
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -106,5 +106,37 @@
 			EXPECT_TRUE(calls[1].starts_with("/kv-watch?prefix=servers/former&")) << calls[1];
 			EXPECT_TRUE(calls[2].starts_with("/kv-range?prefix=servers/")) << calls[2];
 		}
+
+		// Guards against an agent that learns of its upstream's restart and still waits up to 30 s for a change of the
+		// former entry.
+		TEST_F(store_reader_on_loopback, ends_pending_watch_of_one_key_when_the_scope_widens)
+		{
+			bool whole_group = false;
+			answers = {
+				{.status = 200,
+				 .body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":9}})", item("servers/former", 8))}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			reader.set_watch_scope_selector(
+				[&whole_group]
+				{ return steering::watch_scope{.key = whole_group ? "" : "servers/former", .coalescing_delay = 1ms}; });
+			reader.set_answer_handler(
+				[this, &reader, &whole_group]
+				{
+					if (whole_group)
+					{
+						loop.stop();
+						return;
+					}
+					// The watch of the former entry is pending now.
+					whole_group = true;
+					reader.widen_watch();
+				});
+			ASSERT_EQ(store.listen(address), "");
+			reader.start();
+			loop.call_at(loop.now() + 1s, [this] { loop.stop(); });
+			loop.run();
+			ASSERT_EQ(calls.size(), 2U);
+			EXPECT_TRUE(calls.back().starts_with("/kv-range?prefix=servers/")) << calls.back();
+		}
 	}
 }
