Log the store's era and records ignored as older

Answers carry the era of the store's history; store_era is written when it changes, record_ignored when a record is older than the known one of its key. No logic changes.

--- a/fuzz/platform_store.cpp
+++ b/fuzz/platform_store.cpp
@@ -86,7 +86,7 @@
 	{
 		now += std::chrono::milliseconds{1};
 		const auto response =
-			platform::decode_response(200, make_input(static_cast<std::uint64_t>(i) + random.below(3), random));
+			platform::decode_response(200, "", make_input(static_cast<std::uint64_t>(i) + random.below(3), random));
 		const auto previous_version = known.version;
 		std::set<std::string> listed;
 		for (const auto& it : response.records)
--- a/src/node/http_call.cpp
+++ b/src/node/http_call.cpp
@@ -80,7 +80,7 @@
 									   [this]
 									   {
 										   timeout_timer_ = 0;
-										   finish({.status = 0, .body = {}, .error = "timeout"}, false);
+										   finish({.status = 0, .body = {}, .error = "timeout", .header = {}}, false);
 									   });
 		if (!fd_ && !open())
 		{
@@ -90,7 +90,7 @@
 										   [this, error = format_system_error("connect")]
 										   {
 											   timeout_timer_ = 0;
-											   finish({.status = 0, .body = {}, .error = error}, false);
+											   finish({.status = 0, .body = {}, .error = error, .header = {}}, false);
 										   });
 			return;
 		}
@@ -116,7 +116,7 @@
 		{
 			if (!is_transient_error())
 			{
-				finish({.status = 0, .body = {}, .error = format_system_error("send")}, false);
+				finish({.status = 0, .body = {}, .error = format_system_error("send"), .header = {}}, false);
 			}
 			return;
 		}
@@ -139,7 +139,10 @@
 			}
 			if (n <= 0)
 			{
-				finish({.status = 0, .body = {}, .error = n == 0 ? "connection closed" : format_system_error("recv")},
+				finish({.status = 0,
+						.body = {},
+						.error = n == 0 ? "connection closed" : format_system_error("recv"),
+						.header = {}},
 					   false);
 				return;
 			}
@@ -161,7 +164,7 @@
 		unparsed_.erase(0, consumed);
 		if (ec && ec != boost::beast::http::error::need_more)
 		{
-			finish({.status = 0, .body = {}, .error = ec.message()}, false);
+			finish({.status = 0, .body = {}, .error = ec.message(), .header = {}}, false);
 			return;
 		}
 		if (parser_->is_done())
@@ -169,7 +172,8 @@
 			const bool keep_alive = parser_->keep_alive();
 			finish({.status = static_cast<int>(parser_->get().result_int()),
 					.body = std::move(parser_->get().body()),
-					.error = {}},
+					.error = {},
+					.header = std::move(parser_->get().base())},
 				   keep_alive);
 		}
 	}
--- a/src/node/http_call.hpp
+++ b/src/node/http_call.hpp
@@ -19,7 +19,8 @@
 	{
 		int status = 0; ///< HTTP status; 0 when no complete response arrived.
 		std::string body;
-		std::string error; ///< Reason why no response arrived.
+		std::string error;                 ///< Reason why no response arrived.
+		boost::beast::http::fields header; ///< Header fields of the response.
 	};
 
 	/// Non-blocking HTTP/1.1 connection to one server, with one request at a time. Connects when a request needs it.
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -11,6 +11,13 @@
 		/// A watch that has been pending for this long has no changes to report: several times the usual response time
 		/// of the store.
 		constexpr std::chrono::milliseconds watch_quiet{20};
+
+		[[nodiscard]] platform::store_response decode(const http_result& result)
+		{
+			const auto era =
+				result.header[boost::beast::string_view{platform::era_field.data(), platform::era_field.size()}];
+			return platform::decode_response(result.status, {era.data(), era.size()}, result.body);
+		}
 	}
 
 	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& catalog, const endpoint& store,
@@ -123,10 +130,11 @@
 			handle_failure(result.error);
 			return;
 		}
-		const auto response = platform::decode_response(result.status, result.body);
+		const auto response = decode(result);
 		switch (response.result)
 		{
 			case platform::store_response::outcome::complete:
+				log_era(response);
 				last_answered_call_ = call_started_;
 				if (follower_.unreachable)
 				{
@@ -153,6 +161,19 @@
 		}
 	}
 
+	void store_reader::log_era(const platform::store_response& response)
+	{
+		if (response.era != era_)
+		{
+			log_.write(log_level::info, "store_era", "metadata store answers from another era",
+					   {{"era", std::to_string(response.era)},
+						{"former_era", std::to_string(era_)},
+						{"revision", std::to_string(response.revision)},
+						{"known_revision", std::to_string(follower_.revision)}});
+			era_ = response.era;
+		}
+	}
+
 	void store_reader::update_watch_scope()
 	{
 		if (!watch_scope_selector_)
@@ -202,9 +223,18 @@
 
 	void store_reader::apply(const steering::store_record& record)
 	{
+		const auto known = catalog_.revisions.find(record.key);
+		const auto known_revision = known == catalog_.revisions.end() ? 0 : known->second;
 		const auto effect = apply_record(catalog_, group_, record, loop_.now());
 		if (effect == steering::record_effect::none)
 		{
+			if (record.revision < known_revision)
+			{
+				log_.write(log_level::info, "record_ignored", "metadata store record older than the known one",
+						   {{"key", record.key},
+							{"revision", std::to_string(record.revision)},
+							{"known_revision", std::to_string(known_revision)}});
+			}
 			return;
 		}
 		update_encoded(record);
@@ -245,7 +275,7 @@
 
 	void store_reader::apply_relayed(const http_result& result)
 	{
-		const auto response = platform::decode_response(result.status, result.body);
+		const auto response = decode(result);
 		const bool orders = group_ == steering::record_group::operator_orders;
 		const auto newest = orders ? catalog_.orders_revision : follower_.revision;
 		if (response.result != platform::store_response::outcome::complete || response.revision <= newest ||
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -87,6 +87,7 @@
 		void handle_failure(const std::string& reason);
 		void update_watch_scope();
 		void apply(const steering::store_record& record);
+		void log_era(const platform::store_response& response);
 
 		event_loop& loop_;
 		node_log& log_;
@@ -103,5 +104,6 @@
 		monotonic_time call_started_;                ///< Start of the latest call.
 		monotonic_time last_answered_call_;          ///< Start of the latest answered call.
 		std::uint64_t calls_ = 0;
+		std::uint64_t era_ = 0; ///< Of the latest complete answer.
 	};
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -86,8 +86,9 @@
 		TEST(store_format, decodes_a_relayed_listing_like_one_of_the_store)
 		{
 			const auto text = R"({"items":[{"key":"op/evacuate/a","revision":7,"value":"e30="}],"as_of":9})";
-			const auto response = decode_response(200, text);
-			const auto relayed = decode_response(200, encode_listing(std::array{response.records.at(0).encoded}, 9));
+			const auto response = decode_response(200, "", text);
+			const auto relayed =
+				decode_response(200, "", encode_listing(std::array{response.records.at(0).encoded}, 9));
 			ASSERT_EQ(relayed.result, store_response::outcome::complete);
 			EXPECT_EQ(relayed.revision, 9U);
 			EXPECT_EQ(std::get<steering::zone_evacuation>(relayed.records.at(0).value).zone, "a");
@@ -105,8 +106,9 @@
 
 		[[nodiscard]] steering::record_value decode_one(const std::string& key, std::string_view value)
 		{
-			const auto response = decode_response(200, R"({"items":[{"key":")" + key + R"(","revision":7,"value":")" +
-														   base64(value) + R"("}],"as_of":9})");
+			const auto response = decode_response(200, "",
+												  R"({"items":[{"key":")" + key + R"(","revision":7,"value":")" +
+													  base64(value) + R"("}],"as_of":9})");
 			EXPECT_EQ(response.result, store_response::outcome::complete);
 			EXPECT_EQ(response.revision, 9U);
 			return response.records.at(0).value;
@@ -144,7 +146,7 @@
 				EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(value)) << bad;
 			}
 			const auto response = decode_response(
-				200, R"({"items":[{"key":"servers/i-1","revision":7,"value":"*not base64*"}],"as_of":9})");
+				200, "", R"({"items":[{"key":"servers/i-1","revision":7,"value":"*not base64*"}],"as_of":9})");
 			EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(response.records.at(0).value));
 		}
 
@@ -175,7 +177,7 @@
 			const auto body = R"({"items":[{"key":"servers/a","revision":3,"value":)" + nested +
 							  R"(},{"key":"servers/b","revision":4,"value":"e30=","extra":)" + nested +
 							  R"(}],"as_of":9})";
-			const auto response = decode_response(200, body);
+			const auto response = decode_response(200, "", body);
 			EXPECT_EQ(response.result, store_response::outcome::complete);
 			ASSERT_EQ(response.records.size(), 2U);
 			EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(response.records[0].value));
@@ -203,13 +205,13 @@
 		// Guards against applying changes from an unsuccessful or malformed response.
 		TEST(store_format, distinguishes_refusals_lost_history_and_malformed_responses)
 		{
-			EXPECT_EQ(decode_response(503, "").result, store_response::outcome::refused);
-			EXPECT_EQ(decode_response(429, "{}").result, store_response::outcome::refused);
-			EXPECT_EQ(decode_response(410, "").result, store_response::outcome::history_gone);
-			EXPECT_EQ(decode_response(200, R"({"items":[)").result, store_response::outcome::malformed);
-			EXPECT_EQ(decode_response(200, R"({"items":[]})").result, store_response::outcome::malformed);
+			EXPECT_EQ(decode_response(503, "", "").result, store_response::outcome::refused);
+			EXPECT_EQ(decode_response(429, "", "{}").result, store_response::outcome::refused);
+			EXPECT_EQ(decode_response(410, "", "").result, store_response::outcome::history_gone);
+			EXPECT_EQ(decode_response(200, "", R"({"items":[)").result, store_response::outcome::malformed);
+			EXPECT_EQ(decode_response(200, "", R"({"items":[]})").result, store_response::outcome::malformed);
 			EXPECT_EQ(
-				decode_response(200, R"({"events":[{"key":"servers/i-1","revision":3,"removed":true}],"as_of":3})")
+				decode_response(200, "", R"({"events":[{"key":"servers/i-1","revision":3,"removed":true}],"as_of":3})")
 					.records.at(0)
 					.value.index(),
 				0U);
