Order revisions by the store's era, and hold back an older copy

Changes of the configuration were not in force in time after the store had been restored from an older copy. A restored store gives out revisions again; records, positions of watches, the newest orders in messages and relayed records were compared by revision alone, across both histories. Configuration 11 at revision 16 was ignored since revision 16 was known, and each process dropped its calls every 1.2 s because others named a revision of the lost history.

A revision now consists of era and number, from the header field that the store sends with each answer. An answer of a later era restarts the listing, as a watch does not continue from a revision of the lost history; an answer of a former era is dropped. Messages keep their layout: the era takes the upper 16 bits of the revision. Relayed records carry their era.

Ordering by era alone would let an older copy replace what is known. So the first record of a key in a later era is checked by its contents: the highest version of the configuration stays in force, also against a newer revision; an earlier entry of the same run of an upstream is never taken, as that upstream may be draining; other older entries, evacuations that had ended and evacuations that the copy lacks are held for 2.5 s, in which the operator and the upstreams write again. Then the group is listed once more and the store's state holds.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -3,6 +3,7 @@
 #include "nutmegturn/steering/records.hpp"
 #include "nutmegturn/time.hpp"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -34,12 +35,13 @@
 		std::string key;
 		upstream_entry entry;
 		service_key service{};
-		std::uint64_t registered = 0; ///< Revision at which the upstream registered under this key.
-		bool superseded = false;      ///< Another upstream registered later at the same address, so this one has ended.
-		monotonic_time changed_at;    ///< Last observed change of the entry.
-		bool listed = true;           ///< The entry is present in the store.
-		monotonic_time removed_at;    ///< When the entry was found to be missing.
-		monotonic_time grace_until{}; ///< End of the grace period of an entry that expired.
+		store_revision registered; ///< Revision at which the upstream registered under this key.
+		bool superseded = false;   ///< Another upstream registered later at the same address, so this one has ended.
+		monotonic_time changed_at; ///< Last observed change of the entry.
+		bool listed = true;        ///< The entry is present in the store.
+		monotonic_time removed_at; ///< When the entry was found to be missing.
+		std::uint64_t removed_era = 0; ///< Era of the store at that time.
+		monotonic_time grace_until{};  ///< End of the grace period of an entry that expired.
 	};
 
 	/// Route with the services that may hold its flows.
@@ -50,6 +52,23 @@
 		std::map<service_key, monotonic_time> former_services; ///< Removed services, with the time of removal.
 	};
 
+	/// Evacuation in force.
+	struct known_evacuation
+	{
+		std::string key;
+		std::uint64_t number = 0; ///< Of its record's revision.
+	};
+
+	/// Era of a group's records. A restored store lacks what was written after its copy was made until the operator and
+	/// the upstreams have written it again.
+	struct group_era
+	{
+		std::uint64_t era = 0;
+		bool known = false;              ///< A record or listing of the group has been applied.
+		monotonic_time settling_until{}; ///< Until then, what the restored store lacks is expected to be written again.
+		std::set<std::string> held;      ///< Keys whose known state is newer than the restored store's.
+	};
+
 	/// Local copy of the metadata store's records. Versions never decrease.
 	struct catalog
 	{
@@ -58,12 +77,14 @@
 		std::map<ipv4_endpoint, known_route> routes;
 		std::map<service_key, service_record> services;
 		std::map<std::string, known_upstream> upstreams;
-		std::map<std::string, std::string> evacuations;         ///< Key of the evacuation record by zone.
+		std::map<std::string, known_evacuation> evacuations;    ///< By zone.
+		std::map<std::string, std::uint64_t> ended_evacuations; ///< Revision number of the last one by key.
 		std::map<std::string, monotonic_time> evacuation_ended; ///< Time when the evacuation ended, by zone.
 		std::map<service_key, std::vector<const known_upstream*>> by_service;
-		std::map<std::string, std::uint64_t> revisions; ///< Newest known revision of each key.
-		std::uint64_t orders_revision = 0;              ///< Newest revision of the group `operator_orders`.
-		std::uint64_t unreadable_records = 0;           ///< Records ignored because they could not be decoded.
+		std::map<std::string, store_revision> revisions; ///< Newest known revision of each key.
+		store_revision orders_revision;                  ///< Newest revision of the group `operator_orders`.
+		std::array<group_era, 2> eras;                   ///< By `record_group`.
+		std::uint64_t unreadable_records = 0;            ///< Records ignored because they could not be decoded.
 	};
 
 	/// How long an upstream without an entry remains a candidate in searches for holders.
@@ -90,14 +111,30 @@
 	/// Returns the event name used in logs.
 	[[nodiscard]] std::string_view to_string(record_effect effect) noexcept;
 
+	/// Returns the era of a group's records.
+	[[nodiscard]] inline const group_era& era_of(const catalog& known, record_group group) noexcept
+	{
+		return known.eras[static_cast<std::size_t>(group)];
+	}
+
+	/// How long the known state goes before that of a restored store where the two differ.
+	inline constexpr milliseconds restore_settling_time{2'500};
+
 	/// Applies one record. A record that is not newer than the known revision of its key is ignored, so records may
-	/// come from several sources in any order.
+	/// come from several sources in any order. Of configurations, the one with the highest version is in force.
+	///
+	/// The first record of a key in a later era may be older than the known one. Versions, start times and sequence
+	/// numbers show that; such a record is held back for `restore_settling_time`, and for good if it is an earlier
+	/// entry of the same run of an upstream, which may be draining by now.
 	/// \param group	Group of the record's key.
 	record_effect apply_record(catalog& known, record_group group, const store_record& record, monotonic_time now);
 
-	/// Completes a full listing of a group: removes the catalog's records of that group that the listing lacks.
+	/// Completes a full listing of a group: removes the catalog's records of that group that the listing lacks. An
+	/// evacuation that a restored store lacks stays in force for `restore_settling_time`.
 	/// \param listed	All keys of the listing.
-	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed, monotonic_time now);
+	/// \param revision	Revision of the listing.
+	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed,
+						store_revision revision, monotonic_time now);
 
 	/// Removes upstreams and former services of routes after `former_upstream_retention`.
 	void expire_former(catalog& known, monotonic_time now);
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -75,15 +75,15 @@
 	struct message
 	{
 		message_kind kind = message_kind::subscribe;
-		service_key service{};             ///< `open`: service chosen for the flow.
-		std::uint64_t version = 0;         ///< Newest configuration version known to the sender.
-		std::uint64_t orders_revision = 0; ///< Newest revision of `operator_orders` known to the sender.
-		flow_id flow;                      ///< `held`, `not_held`.
-		load_report load;                  ///< All messages from agents.
-		ipv4 other_balancer{};             ///< All messages from agents: a balancer other than the receiver, or zero.
-		ipv4 reply_to{};                   ///< `probe`: balancer that gets the reply.
-		std::uint32_t zone = 0;            ///< `subscribe`: key of the balancer's availability zone.
-		bool just_started = false;         ///< `subscribe`: the balancer has just started and has an empty flow table.
+		service_key service{};          ///< `open`: service chosen for the flow.
+		std::uint64_t version = 0;      ///< Newest configuration version known to the sender.
+		store_revision orders_revision; ///< Newest revision of `operator_orders` known to the sender.
+		flow_id flow;                   ///< `held`, `not_held`.
+		load_report load;               ///< All messages from agents.
+		ipv4 other_balancer{};          ///< All messages from agents: a balancer other than the receiver, or zero.
+		ipv4 reply_to{};                ///< `probe`: balancer that gets the reply.
+		std::uint32_t zone = 0;         ///< `subscribe`: key of the balancer's availability zone.
+		bool just_started = false;      ///< `subscribe`: the balancer has just started and has an empty flow table.
 
 		/// `open`, `flow_packet`, `probe`, `declined`, `not_held`: the caller's packet.
 		/// `held_flows`, `query`: encoded flows. `query_reply`: encoded answers.
--- a/include/nutmegturn/steering/records.hpp
+++ b/include/nutmegturn/steering/records.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegturn/steering/ipv4.hpp"
+#include "nutmegturn/steering/store_revision.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -29,6 +30,7 @@
 		upstream_readiness readiness = upstream_readiness::ready;
 		milliseconds cold_remaining{0}; ///< Remaining cold start time, from the entry's last change.
 		std::int64_t started_at_ms = 0; ///< Unix time of the upstream's start; tells two runs under the same ID apart.
+		std::uint64_t sequence = 0;     ///< Increases with each entry that the upstream publishes during a run.
 	};
 
 	/// Service with its share of a route's new flows.
@@ -86,8 +88,8 @@
 	struct store_record
 	{
 		std::string key;
-		std::uint64_t revision = 0; ///< Of the key's last change.
-		std::uint64_t created = 0;  ///< Revision of the key's creation; 0 if unknown.
+		store_revision revision; ///< Of the key's last change.
+		store_revision created;  ///< Revision of the key's creation; number 0 if unknown.
 		record_value value;
 		std::string encoded; ///< The record as the store sent it, to relay it to other processes.
 	};
--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "nutmegturn/steering/store_revision.hpp"
 #include "nutmegturn/time.hpp"
 
 #include <chrono>
@@ -57,17 +58,18 @@
 		step next = step::list;
 		std::chrono::milliseconds coalescing_delay = balancer_coalescing_delay;
 		std::chrono::milliseconds watch_wait = balancer_watch_wait;
-		std::string last_key;                  ///< Last key of the previous page; empty for the first page.
-		std::set<std::string> listed_keys;     ///< Keys in the listing so far.
-		std::uint64_t revision = 0;            ///< All changes up to this revision are known.
-		std::uint64_t first_page_revision = 0; ///< Revision of the first page; the pages are not a consistent snapshot.
-		bool listed_once = false;              ///< A complete listing has been read.
-		bool unreachable = false;              ///< The last call failed.
-		std::uint32_t failures = 0;            ///< Consecutive failed calls.
-		monotonic_time last_answer;            ///< When the last complete answer arrived.
-		monotonic_time recovered_at;           ///< When the store first answered after a failure.
-		monotonic_time next_call_at;           ///< Earliest time of the next call.
-		monotonic_time newer_known_since{};    ///< When another process was found to know a newer revision, or zero.
+		std::string last_key;               ///< Last key of the previous page; empty for the first page.
+		std::set<std::string> listed_keys;  ///< Keys in the listing so far.
+		std::optional<std::uint64_t> era;   ///< Era of the answers so far.
+		store_revision revision;            ///< All changes up to this revision are known.
+		store_revision first_page_revision; ///< Revision of the first page; the pages are not a consistent snapshot.
+		bool listed_once = false;           ///< A complete listing has been read.
+		bool unreachable = false;           ///< The last call failed.
+		std::uint32_t failures = 0;         ///< Consecutive failed calls.
+		monotonic_time last_answer;         ///< When the last complete answer arrived.
+		monotonic_time recovered_at;        ///< When the store first answered after a failure.
+		monotonic_time next_call_at;        ///< Earliest time of the next call.
+		monotonic_time newer_known_since{}; ///< When another process was found to know a newer revision, or zero.
 	};
 
 	/// How long after an outage the store's contents may still be incomplete, since entries have yet to be renewed.
@@ -77,12 +79,22 @@
 	/// \param last_key	Last key of the page.
 	/// \param more		Whether another page follows.
 	/// \returns		Whether the listing is complete.
-	bool record_listing_page(store_follower& follower, std::uint64_t revision, const std::string& last_key, bool more,
+	bool record_listing_page(store_follower& follower, store_revision revision, const std::string& last_key, bool more,
 							 monotonic_time now);
 
 	/// Records a complete answer to a watch.
 	/// \param changed	Whether the answer contained changes.
-	void record_watch_answer(store_follower& follower, std::uint64_t revision, bool changed, monotonic_time now);
+	void record_watch_answer(store_follower& follower, store_revision revision, bool changed, monotonic_time now);
+
+	/// Returns whether an answer comes from a store that has been restored from an older copy since the last answer. A
+	/// watch then does not continue from the known revision, which may have been given out again.
+	[[nodiscard]] bool is_restored(const store_follower& follower, std::uint64_t era) noexcept;
+
+	/// Returns whether an answer is of an era that is over.
+	[[nodiscard]] bool is_former_era(const store_follower& follower, std::uint64_t era) noexcept;
+
+	/// Continues with a listing of the restored store.
+	void enter_era(store_follower& follower, std::uint64_t era, monotonic_time now);
 
 	/// Continues with a listing at once instead of a watch.
 	void list_again(store_follower& follower, monotonic_time now) noexcept;
@@ -99,7 +111,8 @@
 	/// \returns	Whether the call is to be given up, since a newer revision has been known elsewhere for longer than
 	/// a
 	///				call takes.
-	[[nodiscard]] bool is_answer_overdue(store_follower& follower, std::uint64_t revision, monotonic_time now) noexcept;
+	[[nodiscard]] bool is_answer_overdue(store_follower& follower, store_revision revision,
+										 monotonic_time now) noexcept;
 
 	/// Returns whether missing entries may be registered again, because the store is or was recently unreachable.
 	[[nodiscard]] bool is_settling(const store_follower& follower, monotonic_time now) noexcept;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -121,9 +121,11 @@
 		return {.status = 404, .body = {}};
 	}
 
-	void node::handle_orders_revision(steering::ipv4 instance, std::uint64_t revision, steering::ipv4 balancer)
+	void node::handle_orders_revision(steering::ipv4 instance, const steering::store_revision& revision,
+									  steering::ipv4 balancer)
 	{
 		orders_reader.handle_known_revision(revision);
+		upstreams_reader.handle_known_revision({.era = revision.era, .number = 0});
 		const auto now = loop.now();
 		if (now - last_relay_request < relay_interval)
 		{
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -49,7 +49,8 @@
 		/// serve no caller at all.
 		/// \param instance	Instance of the reporting process.
 		/// \param balancer	Balancer that knows all upstream entries, or zero.
-		void handle_orders_revision(steering::ipv4 instance, std::uint64_t revision, steering::ipv4 balancer);
+		void handle_orders_revision(steering::ipv4 instance, const steering::store_revision& revision,
+									steering::ipv4 balancer);
 
 		/// Makes the status server listen. Failure to serve metrics on `metrics_port` is only logged.
 		/// \returns	An empty string, or the reason why the readiness check cannot be served.
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -62,7 +62,7 @@
 		call_timer_ = loop_.call_at(follower_.next_call_at, [this] { call(); });
 	}
 
-	void store_reader::handle_known_revision(std::uint64_t revision)
+	void store_reader::handle_known_revision(const steering::store_revision& revision)
 	{
 		if (call_timer_ == 0 && is_answer_overdue(follower_, revision, loop_.now()))
 		{
@@ -104,9 +104,10 @@
 		call_started_ = loop_.now();
 		++calls_;
 		const bool watch = follower_.next == store_follower::step::watch;
-		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision, follower_.watch_wait)
+		const auto wait = watch ? follower_.watch_wait : steering::milliseconds{0};
+		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision.number, wait)
 								  : platform::listing_target(group_, follower_.last_key);
-		const auto timeout = steering::call_timeout + (watch ? follower_.watch_wait : steering::milliseconds{0});
+		const auto timeout = steering::call_timeout + wait;
 		connection_.get(target, timeout, [this](const http_result& result) { handle_result(result); });
 	}
 
@@ -134,18 +135,22 @@
 		switch (response.result)
 		{
 			case platform::store_response::outcome::complete:
-				log_era(response);
-				last_answered_call_ = call_started_;
+				if (is_former_era(follower_, response.revision.era))
+				{
+					handle_failure("answer of a former era of the store");
+					return;
+				}
 				if (follower_.unreachable)
 				{
 					log_.write(log_level::info, "store_regained", "metadata store reachable again");
 				}
-				follower_.next == store_follower::step::list ? apply_listing(response) : apply_watch(response);
+				apply_answer(response);
 				break;
 			case platform::store_response::outcome::history_gone:
 				log_.write(log_level::info, "store_history_gone",
 						   "metadata store no longer keeps the watched revision; listing all records again",
-						   {{"revision", std::to_string(follower_.revision)}});
+						   {{"era", std::to_string(follower_.revision.era)},
+							{"revision", std::to_string(follower_.revision.number)}});
 				restart_listing(follower_, loop_.now());
 				break;
 			case platform::store_response::outcome::refused:
@@ -161,16 +166,30 @@
 		}
 	}
 
-	void store_reader::log_era(const platform::store_response& response)
+	void store_reader::enter_era(const steering::store_revision& revision)
 	{
-		if (response.era != era_)
+		log_.write(log_level::warning, "store_restored",
+				   "metadata store restored from an older copy; listing all records again",
+				   {{"era", std::to_string(revision.era)},
+					{"revision", std::to_string(revision.number)},
+					{"former_era", std::to_string(follower_.revision.era)},
+					{"former_revision", std::to_string(follower_.revision.number)}});
+		steering::enter_era(follower_, revision.era, loop_.now());
+		loop_.call_at(loop_.now() + steering::restore_settling_time, [this] { list_held_records(); });
+	}
+
+	void store_reader::list_held_records()
+	{
+		if (era_of(catalog_, group_).held.empty())
+		{
+			return;
+		}
+		const bool watching = call_timer_ == 0 && follower_.next == store_follower::step::watch;
+		list_again(follower_, loop_.now());
+		if (watching)
 		{
-			log_.write(log_level::info, "store_era", "metadata store answers from another era",
-					   {{"era", std::to_string(response.era)},
-						{"former_era", std::to_string(era_)},
-						{"revision", std::to_string(response.revision)},
-						{"known_revision", std::to_string(follower_.revision)}});
-			era_ = response.era;
+			connection_.close();
+			call();
 		}
 	}
 
@@ -190,6 +209,22 @@
 		follower_.coalescing_delay = scope.coalescing_delay;
 	}
 
+	void store_reader::apply_answer(const platform::store_response& response)
+	{
+		const bool first_page = follower_.next == store_follower::step::list && follower_.last_key.empty();
+		if (is_restored(follower_, response.revision.era))
+		{
+			enter_era(response.revision);
+			if (!first_page)
+			{
+				// The answer continues from a revision of the former era.
+				return;
+			}
+		}
+		last_answered_call_ = call_started_;
+		follower_.next == store_follower::step::list ? apply_listing(response) : apply_watch(response);
+	}
+
 	void store_reader::apply_listing(const platform::store_response& response)
 	{
 		std::string last_key;
@@ -201,15 +236,16 @@
 		}
 		if (record_listing_page(follower_, response.revision, last_key, response.has_more, loop_.now()))
 		{
-			finish_listing(follower_.listed_keys);
+			finish_listing(follower_.listed_keys, follower_.revision);
 			follower_.listed_keys.clear();
 		}
 	}
 
-	void store_reader::finish_listing(const std::set<std::string>& listed)
+	void store_reader::finish_listing(const std::set<std::string>& listed, const steering::store_revision& revision)
 	{
-		steering::finish_listing(catalog_, group_, listed, loop_.now());
-		std::erase_if(encoded_, [&listed](const auto& it) { return !listed.contains(it.first); });
+		steering::finish_listing(catalog_, group_, listed, revision, loop_.now());
+		const auto& held = era_of(catalog_, group_).held;
+		std::erase_if(encoded_, [&](const auto& it) { return !listed.contains(it.first) && !held.contains(it.first); });
 	}
 
 	void store_reader::apply_watch(const platform::store_response& response)
@@ -223,18 +259,10 @@
 
 	void store_reader::apply(const steering::store_record& record)
 	{
-		const auto known = catalog_.revisions.find(record.key);
-		const auto known_revision = known == catalog_.revisions.end() ? 0 : known->second;
 		const auto effect = apply_record(catalog_, group_, record, loop_.now());
 		if (effect == steering::record_effect::none)
 		{
-			if (record.revision < known_revision)
-			{
-				log_.write(log_level::info, "record_ignored", "metadata store record older than the known one",
-						   {{"key", record.key},
-							{"revision", std::to_string(record.revision)},
-							{"known_revision", std::to_string(known_revision)}});
-			}
+			log_ignored(record);
 			return;
 		}
 		update_encoded(record);
@@ -246,10 +274,26 @@
 		log_.write(problem == nullptr ? log_level::info : log_level::warning, to_string(effect),
 				   problem == nullptr ? "metadata store record applied" : problem->problem,
 				   {{"key", record.key},
-					{"revision", std::to_string(record.revision)},
+					{"era", std::to_string(record.revision.era)},
+					{"revision", std::to_string(record.revision.number)},
 					{"version", std::to_string(catalog_.version)}});
 	}
 
+	void store_reader::log_ignored(const steering::store_record& record) const
+	{
+		const auto& known = catalog_.revisions.at(record.key);
+		const bool held = era_of(catalog_, group_).held.contains(record.key);
+		if (held || record.revision < known)
+		{
+			log_.write(log_level::info, "record_ignored", "metadata store record older than the known one",
+					   {{"key", record.key},
+						{"era", std::to_string(record.revision.era)},
+						{"revision", std::to_string(record.revision.number)},
+						{"known_era", std::to_string(known.era)},
+						{"known_revision", std::to_string(known.number)}});
+		}
+	}
+
 	void store_reader::update_encoded(const steering::store_record& record)
 	{
 		if (std::holds_alternative<steering::removed_record>(record.value))
@@ -289,7 +333,7 @@
 			apply(record);
 			listed.insert(record.key);
 		}
-		finish_listing(listed);
+		finish_listing(listed, response.revision);
 		if (orders)
 		{
 			catalog_.orders_revision = std::max(catalog_.orders_revision, response.revision);
@@ -297,7 +341,9 @@
 		follower_.listed_once = true;
 		log_.write(log_level::info, orders ? "orders_relayed" : "upstreams_relayed",
 				   "records read from another process while the metadata store is unreachable",
-				   {{"revision", std::to_string(response.revision)}, {"version", std::to_string(catalog_.version)}});
+				   {{"era", std::to_string(response.revision.era)},
+					{"revision", std::to_string(response.revision.number)},
+					{"version", std::to_string(catalog_.version)}});
 	}
 
 	void store_reader::log_service_limits()
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -36,7 +36,7 @@
 
 		/// Handles the newest revision of the group that another process knows. A call whose answer is overdue by it is
 		/// repeated.
-		void handle_known_revision(std::uint64_t revision);
+		void handle_known_revision(const steering::store_revision& revision);
 
 		/// Sets a function that is called after each complete answer of the store has been applied.
 		void set_answer_handler(std::function<void()> handler);
@@ -77,17 +77,20 @@
 		void call();
 		void handle_result(const http_result& result);
 		void apply_result(const http_result& result);
+		void apply_answer(const platform::store_response& response);
 		void apply_listing(const platform::store_response& response);
 
 		/// Removes the records that a complete listing lacks, also from what is served to other processes.
-		void finish_listing(const std::set<std::string>& listed);
+		void finish_listing(const std::set<std::string>& listed, const steering::store_revision& revision);
 		void apply_watch(const platform::store_response& response);
 		void update_encoded(const steering::store_record& record);
 		void log_service_limits();
 		void handle_failure(const std::string& reason);
 		void update_watch_scope();
 		void apply(const steering::store_record& record);
-		void log_era(const platform::store_response& response);
+		void enter_era(const steering::store_revision& revision);
+		void log_ignored(const steering::store_record& record) const;
+		void list_held_records();
 
 		event_loop& loop_;
 		node_log& log_;
@@ -104,6 +107,5 @@
 		monotonic_time call_started_;                ///< Start of the latest call.
 		monotonic_time last_answered_call_;          ///< Start of the latest answered call.
 		std::uint64_t calls_ = 0;
-		std::uint64_t era_ = 0; ///< Of the latest complete answer.
 	};
 }
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -54,13 +54,15 @@
 				}
 				it->second.listed = false;
 				it->second.removed_at = now;
+				it->second.removed_era = era_of(known, record_group::upstreams).era;
 				it->second.grace_until = now + expired_entry_grace;
 				return record_effect::upstream_removed;
 			}
-			const auto zone = std::ranges::find(known.evacuations, key, [](const auto& it) { return it.second; });
+			const auto zone = std::ranges::find(known.evacuations, key, [](const auto& it) { return it.second.key; });
 			if (zone != known.evacuations.end())
 			{
 				known.evacuation_ended[zone->first] = now;
+				known.ended_evacuations[key] = zone->second.number;
 				known.evacuations.erase(zone);
 				return record_effect::zone_returned;
 			}
@@ -80,6 +82,7 @@
 										   .changed_at = now,
 										   .listed = true,
 										   .removed_at = {},
+										   .removed_era = 0,
 										   .grace_until = {}};
 			rebuild_index(known);
 			mark_superseded(known);
@@ -140,6 +143,78 @@
 			known.idle_timeout = config.idle_timeout;
 			return record_effect::configured;
 		}
+
+		void enter_era(catalog& known, record_group group, std::uint64_t era, monotonic_time now)
+		{
+			auto& current = known.eras[static_cast<std::size_t>(group)];
+			if (current.known && era > current.era)
+			{
+				current.settling_until = now + restore_settling_time;
+			}
+			current.era = std::max(current.era, era);
+			current.known = true;
+		}
+
+		[[nodiscard]] bool is_newer_configuration(const catalog& known, const store_record& record)
+		{
+			const auto* config = std::get_if<configuration>(&record.value);
+			return config != nullptr && config->version > known.version;
+		}
+
+		/// Returns the keys of a group that a listing may lack: those of upstreams or of evacuations.
+		[[nodiscard]] std::vector<std::string> keys_in_force(const catalog& known, record_group group)
+		{
+			std::vector<std::string> keys;
+			if (group == record_group::upstreams)
+			{
+				for (const auto& [key, it] : known.upstreams)
+				{
+					keys.push_back(key);
+				}
+				return keys;
+			}
+			for (const auto& [zone, it] : known.evacuations)
+			{
+				keys.push_back(it.key);
+			}
+			return keys;
+		}
+
+		/// Returns whether an entry that a restored store lists is older than the known one.
+		[[nodiscard]] bool is_older_entry(const known_upstream& upstream, const upstream_entry& listed,
+										  std::uint64_t era, bool settling)
+		{
+			const auto& entry = upstream.entry;
+			const auto known_age = std::tie(entry.started_at_ms, entry.sequence);
+			const auto listed_age = std::tie(listed.started_at_ms, listed.sequence);
+			if (upstream.listed)
+			{
+				const bool same_run = listed.started_at_ms == entry.started_at_ms;
+				return listed_age < known_age && (settling || same_run);
+			}
+			// The upstream had left before the store was restored.
+			return settling && upstream.removed_era < era && listed_age <= known_age;
+		}
+
+		/// Returns whether the first record of a key in a later era was already replaced in an earlier one.
+		[[nodiscard]] bool is_older_copy(const catalog& known, record_group group, const store_record& record,
+										 monotonic_time now)
+		{
+			const bool settling = now < era_of(known, group).settling_until;
+			const auto upstream = known.upstreams.find(record.key);
+			if (const auto* entry = std::get_if<upstream_entry>(&record.value))
+			{
+				return upstream != known.upstreams.end() &&
+					   is_older_entry(upstream->second, *entry, record.revision.era, settling);
+			}
+			if (std::holds_alternative<zone_evacuation>(record.value))
+			{
+				const auto ended = known.ended_evacuations.find(record.key);
+				return settling && ended != known.ended_evacuations.end() && ended->second == record.revision.number;
+			}
+			return settling && std::holds_alternative<unreadable_record>(record.value) &&
+				   upstream != known.upstreams.end() && upstream->second.listed;
+		}
 	}
 
 	service_key key_of_service(std::string_view name) noexcept
@@ -155,11 +230,19 @@
 	record_effect apply_record(catalog& known, record_group group, const store_record& record, monotonic_time now)
 	{
 		auto& newest = known.revisions[record.key];
-		if (record.revision <= newest)
+		if (record.revision <= newest && !is_newer_configuration(known, record))
 		{
 			return record_effect::none;
 		}
-		newest = record.revision;
+		enter_era(known, group, record.revision.era, now);
+		auto& held = known.eras[static_cast<std::size_t>(group)].held;
+		if (record.revision.era > newest.era && is_older_copy(known, group, record, now))
+		{
+			held.insert(record.key);
+			return record_effect::none;
+		}
+		held.erase(record.key);
+		newest = std::max(newest, record.revision);
 		if (group == record_group::operator_orders)
 		{
 			known.orders_revision = std::max(known.orders_revision, record.revision);
@@ -178,7 +261,8 @@
 		}
 		if (const auto* order = std::get_if<zone_evacuation>(&record.value))
 		{
-			const bool added = known.evacuations.insert_or_assign(order->zone, record.key).second;
+			const known_evacuation made{.key = record.key, .number = record.revision.number};
+			const bool added = known.evacuations.insert_or_assign(order->zone, made).second;
 			return added ? record_effect::zone_evacuated : record_effect::none;
 		}
 		// An upstream with an unreadable entry gets no new flows, not even in the grace period.
@@ -191,29 +275,25 @@
 		return record_effect::unreadable;
 	}
 
-	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed, monotonic_time now)
+	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed,
+						store_revision revision, monotonic_time now)
 	{
-		std::vector<std::string> known_keys;
-		if (group == record_group::upstreams)
+		enter_era(known, group, revision.era, now);
+		auto& era = known.eras[static_cast<std::size_t>(group)];
+		std::erase_if(era.held, [&listed](const auto& key) { return !listed.contains(key); });
+		for (const auto& key : keys_in_force(known, group))
 		{
-			for (const auto& [key, it] : known.upstreams)
+			if (listed.contains(key))
 			{
-				known_keys.push_back(key);
+				continue;
 			}
-		}
-		else
-		{
-			for (const auto& [zone, key] : known.evacuations)
-			{
-				known_keys.push_back(key);
-			}
-		}
-		for (const auto& key : known_keys)
-		{
-			if (!listed.contains(key))
+			const bool may_return = now < era.settling_until && known.revisions[key].era < era.era;
+			if (may_return && group == record_group::operator_orders)
 			{
-				remove_record(known, key, now);
+				era.held.insert(key);
+				continue;
 			}
+			remove_record(known, key, now);
 		}
 	}
 
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -60,6 +60,19 @@
 			}
 		};
 
+		/// A revision takes one 64-bit field: the era in the upper 16 bits, the number in the lower ones.
+		constexpr unsigned number_bits = 48;
+
+		[[nodiscard]] std::uint64_t pack_revision(const store_revision& revision) noexcept
+		{
+			return (revision.era << number_bits) | revision.number;
+		}
+
+		[[nodiscard]] store_revision unpack_revision(std::uint64_t packed) noexcept
+		{
+			return {.era = packed >> number_bits, .number = packed & ((std::uint64_t{1} << number_bits) - 1)};
+		}
+
 		constexpr std::size_t load_fields_size = 12; ///< Includes `other_balancer`.
 
 		[[nodiscard]] bool comes_from_agent(message_kind kind) noexcept
@@ -195,7 +208,7 @@
 		to.put(layout_version);
 		to.put(static_cast<std::uint8_t>(msg.kind));
 		to.put(msg.version);
-		to.put(msg.orders_revision);
+		to.put(pack_revision(msg.orders_revision));
 		if (msg.kind == message_kind::open)
 		{
 			to.put(static_cast<std::uint32_t>(msg.service));
@@ -243,7 +256,7 @@
 		message msg;
 		msg.kind = message_kind{kind};
 		msg.version = in.take<std::uint64_t>();
-		msg.orders_revision = in.take<std::uint64_t>();
+		msg.orders_revision = unpack_revision(in.take<std::uint64_t>());
 		if (in.in.size() < fields_size(msg.kind))
 		{
 			return std::nullopt;
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -24,10 +24,11 @@
 		}
 	}
 
-	bool record_listing_page(store_follower& follower, std::uint64_t revision, const std::string& last_key, bool more,
+	bool record_listing_page(store_follower& follower, store_revision revision, const std::string& last_key, bool more,
 							 monotonic_time now)
 	{
 		record_answer(follower, now);
+		follower.era = revision.era;
 		if (follower.last_key.empty())
 		{
 			follower.first_page_revision = revision;
@@ -44,13 +45,30 @@
 		return true;
 	}
 
-	void record_watch_answer(store_follower& follower, std::uint64_t revision, bool changed, monotonic_time now)
+	void record_watch_answer(store_follower& follower, store_revision revision, bool changed, monotonic_time now)
 	{
 		record_answer(follower, now);
 		follower.revision = std::max(follower.revision, revision);
 		follower.next_call_at = changed ? now + follower.coalescing_delay : now;
 	}
 
+	bool is_restored(const store_follower& follower, std::uint64_t era) noexcept
+	{
+		return follower.era && era > *follower.era;
+	}
+
+	bool is_former_era(const store_follower& follower, std::uint64_t era) noexcept
+	{
+		return follower.era && era < *follower.era;
+	}
+
+	void enter_era(store_follower& follower, std::uint64_t era, monotonic_time now)
+	{
+		restart_listing(follower, now);
+		follower.era = era;
+		follower.recovered_at = now;
+	}
+
 	void list_again(store_follower& follower, monotonic_time now) noexcept
 	{
 		follower.next_call_at = now;
@@ -75,7 +93,7 @@
 		follower.next_call_at = now + retry_delay + jitter_delay;
 	}
 
-	bool is_answer_overdue(store_follower& follower, std::uint64_t revision, monotonic_time now) noexcept
+	bool is_answer_overdue(store_follower& follower, store_revision revision, monotonic_time now) noexcept
 	{
 		if (follower.unreachable || !follower.listed_once || revision <= follower.revision)
 		{
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -82,17 +82,34 @@
 			EXPECT_TRUE(find_request_id(packet).empty());
 		}
 
+		// Guards against revisions of a restored store that are taken for those of the lost history, also by a process
+		// that gets the record from another one.
+		TEST(store_format, decodes_the_era_of_answers_and_relayed_records)
+		{
+			const auto text =
+				R"({"items":[{"key":"op/evacuate/a","revision":7,"created":5,"value":"e30="}],"as_of":9})";
+			const auto response = decode_response(200, "3", text);
+			EXPECT_EQ(response.revision, (steering::store_revision{.era = 3, .number = 9}));
+			EXPECT_EQ(response.records.at(0).revision, (steering::store_revision{.era = 3, .number = 7}));
+			const auto relayed = decode_response(
+				200, "", encode_listing(std::array{response.records.at(0).encoded}, {.era = 4, .number = 2}));
+			EXPECT_EQ(relayed.revision, (steering::store_revision{.era = 4, .number = 2}));
+			EXPECT_EQ(relayed.records.at(0).revision, (steering::store_revision{.era = 3, .number = 7}));
+			EXPECT_EQ(relayed.records.at(0).created, (steering::store_revision{.era = 3, .number = 5}));
+			EXPECT_EQ(decode_response(200, "three", text).result, store_response::outcome::malformed);
+		}
+
 		// Guards against a process that cannot decode the records that another process relays to it.
 		TEST(store_format, decodes_a_relayed_listing_like_one_of_the_store)
 		{
 			const auto text = R"({"items":[{"key":"op/evacuate/a","revision":7,"value":"e30="}],"as_of":9})";
 			const auto response = decode_response(200, "", text);
-			const auto relayed =
-				decode_response(200, "", encode_listing(std::array{response.records.at(0).encoded}, 9));
+			const auto relayed = decode_response(
+				200, "", encode_listing(std::array{response.records.at(0).encoded}, {.era = 0, .number = 9}));
 			ASSERT_EQ(relayed.result, store_response::outcome::complete);
-			EXPECT_EQ(relayed.revision, 9U);
+			EXPECT_EQ(relayed.revision.number, 9U);
 			EXPECT_EQ(std::get<steering::zone_evacuation>(relayed.records.at(0).value).zone, "a");
-			EXPECT_EQ(relayed.records.at(0).revision, 7U);
+			EXPECT_EQ(relayed.records.at(0).revision.number, 7U);
 		}
 
 		[[nodiscard]] std::string base64(std::string_view text)
@@ -110,7 +127,7 @@
 												  R"({"items":[{"key":")" + key + R"(","revision":7,"value":")" +
 													  base64(value) + R"("}],"as_of":9})");
 			EXPECT_EQ(response.result, store_response::outcome::complete);
-			EXPECT_EQ(response.revision, 9U);
+			EXPECT_EQ(response.revision.number, 9U);
 			return response.records.at(0).value;
 		}
 
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -30,8 +30,16 @@
 		// Guards against a relayed record or a repeated watch that restores an older state.
 		TEST_F(steering_catalog, ignores_records_not_newer_than_known_revision)
 		{
-			const store_record old{.key = "u1", .revision = 5, .value = entry(1, "desk", "a"), .encoded = {}};
-			const store_record gone{.key = "u1", .revision = 6, .value = removed_record{}, .encoded = {}};
+			const store_record old{.key = "u1",
+								   .revision = {.era = 0, .number = 5},
+								   .created = {},
+								   .value = entry(1, "desk", "a"),
+								   .encoded = {}};
+			const store_record gone{.key = "u1",
+									.revision = {.era = 0, .number = 6},
+									.created = {},
+									.value = removed_record{},
+									.encoded = {}};
 			apply_record(known, record_group::upstreams, old, start);
 			apply_record(known, record_group::upstreams, gone, start);
 			EXPECT_EQ(apply_record(known, record_group::upstreams, old, start), record_effect::none);
@@ -74,8 +82,11 @@
 			void register_again(const std::string& key, std::uint64_t created, upstream_entry made,
 								monotonic_time now = start)
 			{
-				const store_record record{
-					.key = key, .revision = created, .created = created, .value = std::move(made), .encoded = {}};
+				const store_record record{.key = key,
+										  .revision = {.era = 0, .number = created},
+										  .created = {.era = 0, .number = created},
+										  .value = std::move(made),
+										  .encoded = {}};
 				apply_record(known, record_group::upstreams, record, now);
 			}
 		};
@@ -121,10 +132,10 @@
 		TEST_F(steering_catalog, removes_records_missing_in_complete_listing)
 		{
 			put(known, "out/a", zone_evacuation{.zone = "a"});
-			finish_listing(known, record_group::upstreams, {"u2", "u3", "u4"}, start);
+			finish_listing(known, record_group::upstreams, {"u2", "u3", "u4"}, {}, start);
 			EXPECT_FALSE(known.upstreams.at("u1").listed);
 			EXPECT_TRUE(known.evacuations.contains("a"));
-			finish_listing(known, record_group::operator_orders, {"config"}, start);
+			finish_listing(known, record_group::operator_orders, {"config"}, {}, start);
 			EXPECT_FALSE(known.evacuations.contains("a"));
 		}
 
@@ -143,6 +154,126 @@
 			EXPECT_NEAR(archive, 1'000, 120);
 		}
 
+		/// Catalog of era 1 whose store is restored from an older copy, which starts era 2.
+		class steering_catalog_restore : public steering_catalog
+		{
+		protected:
+			monotonic_time now = start;
+
+			record_effect put_at(const std::string& key, store_revision revision, record_value value)
+			{
+				const auto group = key.starts_with('u') ? record_group::upstreams : record_group::operator_orders;
+				const store_record record{
+					.key = key, .revision = revision, .created = {}, .value = std::move(value), .encoded = {}};
+				return apply_record(known, group, record, now);
+			}
+
+			[[nodiscard]] static upstream_entry made(upstream_readiness readiness, std::uint64_t sequence)
+			{
+				auto it = entry(1, "desk", "a");
+				it.readiness = readiness;
+				it.sequence = sequence;
+				it.started_at_ms = 5'000;
+				return it;
+			}
+
+			[[nodiscard]] static configuration version(std::uint64_t number)
+			{
+				return configured(number, {{.service = "desk", .weight = 1}});
+			}
+		};
+
+		// Guards against a configuration that never comes into force because the lost history had its revision.
+		TEST_F(steering_catalog_restore, applies_configuration_at_revision_given_out_again)
+		{
+			put_at("config", {.era = 1, .number = 16}, version(9));
+			EXPECT_EQ(put_at("config", {.era = 2, .number = 16}, version(11)), record_effect::configured);
+			EXPECT_EQ(known.version, 11U);
+			EXPECT_EQ(known.orders_revision, (store_revision{.era = 2, .number = 16}));
+		}
+
+		// Guards against a configuration that reverts with the store, also where another process relays it.
+		TEST_F(steering_catalog_restore, keeps_configuration_with_highest_version)
+		{
+			put_at("config", {.era = 1, .number = 16}, version(9));
+			EXPECT_EQ(put_at("config", {.era = 2, .number = 14}, version(6)), record_effect::none);
+			EXPECT_EQ(known.version, 9U);
+			EXPECT_EQ(put_at("config", {.era = 1, .number = 18}, version(10)), record_effect::configured);
+			EXPECT_EQ(known.version, 10U);
+		}
+
+		// Guards against new flows at a draining upstream whose entry the restored store lists as ready.
+		TEST_F(steering_catalog_restore, keeps_upstream_draining_that_the_copy_lists_as_ready)
+		{
+			put_at("u1", {.era = 1, .number = 20}, made(upstream_readiness::draining, 10));
+			EXPECT_EQ(put_at("u1", {.era = 2, .number = 12}, made(upstream_readiness::ready, 4)), record_effect::none);
+			EXPECT_FALSE(accepts("u1", now));
+			now += restore_settling_time;
+			put_at("u1", {.era = 2, .number = 12}, made(upstream_readiness::ready, 4));
+			EXPECT_FALSE(accepts("u1", now)) << "a run that drains does not become ready again";
+			EXPECT_EQ(put_at("u1", {.era = 2, .number = 19}, made(upstream_readiness::draining, 11)),
+					  record_effect::upstream_changed);
+		}
+
+		// Guards against an upstream that has left and is used again, and against one that lives and is never used.
+		TEST_F(steering_catalog_restore, holds_back_entry_of_upstream_that_left)
+		{
+			put_at("u1", {.era = 1, .number = 20}, made(upstream_readiness::ready, 4));
+			put_at("u1", {.era = 1, .number = 21}, removed_record{});
+			now += 5s;
+			EXPECT_EQ(put_at("u1", {.era = 2, .number = 12}, made(upstream_readiness::ready, 4)), record_effect::none);
+			EXPECT_FALSE(known.upstreams.at("u1").listed);
+			EXPECT_TRUE(era_of(known, record_group::upstreams).held.contains("u1"));
+			now += restore_settling_time;
+			put_at("u1", {.era = 2, .number = 12}, made(upstream_readiness::ready, 4));
+			EXPECT_TRUE(accepts("u1", now)) << "the store still lists it";
+		}
+
+		// Guards against an upstream without new flows that registered after the copy was made and writes again.
+		TEST_F(steering_catalog_restore, applies_entry_that_is_written_again)
+		{
+			put_at("u1", {.era = 1, .number = 20}, made(upstream_readiness::ready, 4));
+			finish_listing(known, record_group::upstreams, {"u2", "u3", "u4"}, {.era = 2, .number = 15}, now);
+			EXPECT_EQ(put_at("u1", {.era = 2, .number = 16}, made(upstream_readiness::ready, 4)),
+					  record_effect::upstream_changed);
+			EXPECT_TRUE(known.upstreams.at("u1").listed);
+		}
+
+		// Guards against flows in an evacuated zone whose evacuation the restored store lacks.
+		TEST_F(steering_catalog_restore, keeps_evacuation_until_it_can_be_written_again)
+		{
+			put_at("out/a", {.era = 1, .number = 20}, zone_evacuation{.zone = "a"});
+			const std::set<std::string> listed{"config"};
+			finish_listing(known, record_group::operator_orders, listed, {.era = 2, .number = 15}, now);
+			EXPECT_TRUE(known.evacuations.contains("a"));
+			now += restore_settling_time;
+			finish_listing(known, record_group::operator_orders, listed, {.era = 2, .number = 18}, now);
+			EXPECT_FALSE(known.evacuations.contains("a")) << "the operator has not published it again";
+		}
+
+		// Guards against a zone that is evacuated again by a record of the copy.
+		TEST_F(steering_catalog_restore, holds_back_evacuation_that_has_ended)
+		{
+			put_at("out/a", {.era = 1, .number = 20}, zone_evacuation{.zone = "a"});
+			put_at("out/a", {.era = 1, .number = 25}, removed_record{});
+			EXPECT_EQ(put_at("out/a", {.era = 2, .number = 20}, zone_evacuation{.zone = "a"}), record_effect::none);
+			EXPECT_FALSE(known.evacuations.contains("a"));
+			EXPECT_EQ(put_at("out/a", {.era = 2, .number = 24}, zone_evacuation{.zone = "a"}),
+					  record_effect::zone_evacuated)
+				<< "another revision is another evacuation";
+		}
+
+		// Guards against an entry that another writer corrupted before the copy was made.
+		TEST_F(steering_catalog_restore, holds_back_unreadable_entry)
+		{
+			put_at("u1", {.era = 1, .number = 20}, made(upstream_readiness::ready, 4));
+			EXPECT_EQ(put_at("u1", {.era = 2, .number = 12}, unreadable_record{.problem = "test"}),
+					  record_effect::none);
+			EXPECT_TRUE(accepts("u1", now));
+			EXPECT_EQ(put_at("u1", {.era = 2, .number = 17}, removed_record{}), record_effect::upstream_removed)
+				<< "a removal is never older than the copy";
+		}
+
 		class steering_store_follower : public ::testing::Test
 		{
 		protected:
@@ -152,20 +283,31 @@
 		// Guards against changes that are lost between the pages of a listing.
 		TEST_F(steering_store_follower, watches_from_revision_of_first_page)
 		{
-			EXPECT_FALSE(record_listing_page(it, 10, "k5", true, start));
-			EXPECT_TRUE(record_listing_page(it, 14, "k9", false, start));
+			EXPECT_FALSE(record_listing_page(it, {.era = 0, .number = 10}, "k5", true, start));
+			EXPECT_TRUE(record_listing_page(it, {.era = 0, .number = 14}, "k9", false, start));
 			EXPECT_EQ(it.next, store_follower::step::watch);
-			EXPECT_EQ(it.revision, 10U);
+			EXPECT_EQ(it.revision.number, 10U);
 		}
 
 		// Guards against missed changes after the store dropped the history.
 		TEST_F(steering_store_follower, lists_again_when_history_is_gone)
 		{
-			record_listing_page(it, 10, "", false, start);
+			record_listing_page(it, {.era = 0, .number = 10}, "", false, start);
 			restart_listing(it, start);
 			EXPECT_EQ(it.next, store_follower::step::list);
 		}
 
+		// Guards against a configuration that others know only of the lost history: each call was dropped after 1.2 s,
+		// so that new configurations were read late.
+		TEST_F(steering_store_follower, is_not_overdue_by_revision_of_former_era)
+		{
+			record_listing_page(it, {.era = 2, .number = 15}, "", false, start);
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 1, .number = 16}, start));
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 1, .number = 16}, start + 2 * call_timeout));
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 3, .number = 1}, start));
+			EXPECT_TRUE(is_answer_overdue(it, {.era = 3, .number = 1}, start + 2 * call_timeout));
+		}
+
 		// Guards against flooding a store that is down with calls.
 		TEST_F(steering_store_follower, backs_off_after_each_failure_up_to_about_a_second)
 		{
@@ -182,37 +324,39 @@
 		// dropped without an answer, while it answers others.
 		TEST_F(steering_store_follower, gives_up_call_when_others_know_newer_revision)
 		{
-			record_listing_page(it, 10, "", false, start);
+			record_listing_page(it, {.era = 0, .number = 10}, "", false, start);
 			auto now = start + 5s;
-			EXPECT_FALSE(is_answer_overdue(it, 10, now));
-			EXPECT_FALSE(is_answer_overdue(it, 12, now)) << "the answer may be on its way";
-			EXPECT_FALSE(is_answer_overdue(it, 12, now + call_timeout));
-			EXPECT_TRUE(is_answer_overdue(it, 12, now + call_timeout + 1ms));
-			record_watch_answer(it, 12, true, now + 2s);
-			EXPECT_FALSE(is_answer_overdue(it, 13, now + 2s)) << "the time of the former revision is over";
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 10}, now));
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, now)) << "the answer may be on its way";
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, now + call_timeout));
+			EXPECT_TRUE(is_answer_overdue(it, {.era = 0, .number = 12}, now + call_timeout + 1ms));
+			record_watch_answer(it, {.era = 0, .number = 12}, true, now + 2s);
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 13}, now + 2s))
+				<< "the time of the former revision is over";
 		}
 
 		// Guards against repeated calls while a process pauses between its calls, or cannot reach the store anyway.
 		TEST_F(steering_store_follower, gives_up_no_call_in_pause_or_outage)
 		{
 			it.coalescing_delay = 1s;
-			record_listing_page(it, 10, "", false, start);
-			record_watch_answer(it, 11, true, start);
-			EXPECT_FALSE(is_answer_overdue(it, 12, start));
-			EXPECT_FALSE(is_answer_overdue(it, 12, start + call_timeout + 1ms)) << "the next call began after a second";
+			record_listing_page(it, {.era = 0, .number = 10}, "", false, start);
+			record_watch_answer(it, {.era = 0, .number = 11}, true, start);
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, start));
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, start + call_timeout + 1ms))
+				<< "the next call began after a second";
 			record_failure(it, 0, start + 2s);
-			EXPECT_FALSE(is_answer_overdue(it, 12, start + 10s));
+			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, start + 10s));
 		}
 
 		// Guards against relying on the store's contents while expired entries are still being renewed.
 		TEST_F(steering_store_follower, is_settling_until_entries_had_time_to_return)
 		{
-			record_listing_page(it, 10, "", false, start);
+			record_listing_page(it, {.era = 0, .number = 10}, "", false, start);
 			EXPECT_FALSE(is_settling(it, start));
 			record_failure(it, 0, start);
 			EXPECT_TRUE(is_settling(it, start));
 			EXPECT_FALSE(is_current(it, start));
-			record_watch_answer(it, 11, true, start + 5s);
+			record_watch_answer(it, {.era = 0, .number = 11}, true, start + 5s);
 			EXPECT_TRUE(is_settling(it, start + 7s));
 			EXPECT_FALSE(is_settling(it, start + 8s));
 			EXPECT_TRUE(is_current(it, start + 8s));
--- a/tests/steering_message_test.cpp
+++ b/tests/steering_message_test.cpp
@@ -16,7 +16,7 @@
 		[[nodiscard]] message make_full_message(message_kind kind, std::span<const std::byte> packet)
 		{
 			auto it = about_flow(kind);
-			it.orders_revision = 99;
+			it.orders_revision = {.era = 3, .number = 99};
 			it.load = {.admission = admission_status::cold,
 					   .requests_in_progress = 3,
 					   .open_flows = 7,
@@ -52,7 +52,7 @@
 				ASSERT_TRUE(got);
 				EXPECT_EQ(got->kind, kind);
 				EXPECT_EQ(got->version, 3U);
-				EXPECT_EQ(got->orders_revision, 99U);
+				EXPECT_EQ(got->orders_revision, (store_revision{.era = 3, .number = 99}));
 				EXPECT_TRUE(std::ranges::equal(got->packet, packet));
 				EXPECT_EQ(got->service, kind == message_kind::open ? sent.service : service_key{});
 				EXPECT_EQ(got->reply_to, kind == message_kind::probe ? sent.reply_to : ipv4{});
--- a/tests/steering_world.hpp
+++ b/tests/steering_world.hpp
@@ -35,8 +35,10 @@
 	inline record_effect put(catalog& known, const std::string& key, record_value value, monotonic_time now = start)
 	{
 		const auto group = key.starts_with('u') ? record_group::upstreams : record_group::operator_orders;
-		const auto revision = known.revisions[key] + 1;
-		return apply_record(known, group, {.key = key, .revision = revision, .value = std::move(value), .encoded = {}},
+		auto revision = known.revisions[key];
+		++revision.number;
+		return apply_record(known, group,
+							{.key = key, .revision = revision, .created = {}, .value = std::move(value), .encoded = {}},
 							now);
 	}
 
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -46,6 +46,11 @@
 				return answer;
 			}
 
+			void serve_empty_listing()
+			{
+				answers = {{.status = 200, .body = R"({"items":[],"has_more":false,"as_of":9,"era":2})"}};
+			}
+
 			/// Runs until the reader's catalog has been changed by all answers, at most a second.
 			void read(store_reader& reader)
 			{
@@ -107,6 +112,69 @@
 			EXPECT_TRUE(calls[2].starts_with("/kv-range?prefix=servers/")) << calls[2];
 		}
 
+		// Guards against changes that are never read because a restored store has given out the watched revision again.
+		TEST_F(store_reader_on_loopback, lists_again_when_a_watch_is_answered_in_a_later_era)
+		{
+			answers = {
+				{.status = 200,
+				 .body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":9,"era":1}})", item("servers/a", 8))},
+				{.status = 200, .body = fmt::format(R"({{"events":[{}],"as_of":10,"era":2}})", item("servers/c", 10))},
+				{.status = 200,
+				 .body = fmt::format(R"({{"items":[{},{}],"has_more":false,"as_of":10,"era":2}})", item("servers/b", 9),
+									 item("servers/c", 10))},
+				{.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			read(reader);
+			ASSERT_GE(calls.size(), 3U);
+			EXPECT_TRUE(calls[2].starts_with("/kv-range?prefix=servers/")) << calls[2];
+			EXPECT_EQ(reader.state().revision, (steering::store_revision{.era = 2, .number = 10}));
+			EXPECT_TRUE(known.revisions.contains("servers/b"));
+		}
+
+		// Guards against a late answer of the lost history that is applied after the store was restored.
+		TEST_F(store_reader_on_loopback, drops_answer_of_a_former_era)
+		{
+			answers = {
+				{.status = 200, .body = R"({"items":[],"has_more":false,"as_of":9,"era":2})"},
+				{.status = 200, .body = fmt::format(R"({{"events":[{}],"as_of":30,"era":1}})", item("servers/a", 30))},
+				{.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			ASSERT_EQ(store.listen(address), "");
+			reader.start();
+			loop.call_at(loop.now() + 100ms, [this] { loop.stop(); });
+			loop.run();
+			EXPECT_GE(calls.size(), 2U);
+			EXPECT_TRUE(reader.state().unreachable);
+			EXPECT_FALSE(known.revisions.contains("servers/a"));
+		}
+
+		// Guards against an evacuation of the lost history that stays in force although the operator does not publish
+		// it again: only another listing shows that.
+		TEST_F(store_reader_on_loopback, lists_again_when_a_restored_store_has_settled)
+		{
+			const auto zone = item("op/evacuate/a", 8);
+			answers = {
+				{.status = 200, .body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":9,"era":1}})", zone)},
+				{.status = 410, .body = {}},
+				{.status = 200, .body = R"({"items":[],"has_more":false,"as_of":7,"era":2})"}};
+			store_reader reader{loop, log, known, address, steering::record_group::operator_orders, 1};
+			ASSERT_EQ(store.listen(address), "");
+			reader.set_answer_handler(
+				[this]
+				{
+					if (calls.size() == 3)
+					{
+						EXPECT_TRUE(known.evacuations.contains("a"));
+						answers = {{.status = 503, .body = {}}};
+						loop.call_at(loop.now() + steering::restore_settling_time, [this] { serve_empty_listing(); });
+					}
+				});
+			reader.start();
+			loop.call_at(loop.now() + 2 * steering::restore_settling_time, [this] { loop.stop(); });
+			loop.run();
+			EXPECT_FALSE(known.evacuations.contains("a"));
+		}
+
 		// Guards against an agent that learns of its upstream's restart and still waits up to 30 s for a change of the
 		// former entry.
 		TEST_F(store_reader_on_loopback, ends_pending_watch_of_one_key_when_the_scope_widens)
