Ask a store at once for its era after a failed call

A change could stay unread for up to 10 s (balancers) or 30 s (agents): after a failure a process goes on watching from its revision. If the store has been restored meanwhile and has given out as many revisions again, it does not answer 410 but holds the watch, and changes at or below that revision never show. The first watch after a failure now asks for an answer within 1 ms; its era tells whether the watch goes on or everything is listed. It costs one call for each group and outage.

store_reader_on_loopback.watches_briefly_after_a_failure failed before (the call after the failure asked for 10 s).

--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -96,6 +96,10 @@
 	/// Continues with a listing of the restored store.
 	void enter_era(store_follower& follower, std::uint64_t era, monotonic_time now);
 
+	/// Returns the time for which the store may hold the next watch. After a failure it answers at once, so that a
+	/// restored store is noticed even if it has given out the known revision again.
+	[[nodiscard]] std::chrono::milliseconds next_watch_wait(const store_follower& follower) noexcept;
+
 	/// Continues with a listing at once instead of a watch.
 	void list_again(store_follower& follower, monotonic_time now) noexcept;
 
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -104,7 +104,7 @@
 		call_started_ = loop_.now();
 		++calls_;
 		const bool watch = follower_.next == store_follower::step::watch;
-		const auto wait = watch ? follower_.watch_wait : steering::milliseconds{0};
+		const auto wait = watch ? next_watch_wait(follower_) : steering::milliseconds{0};
 		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision.number, wait)
 								  : platform::listing_target(group_, follower_.last_key);
 		const auto timeout = steering::call_timeout + wait;
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -10,6 +10,9 @@
 		constexpr std::chrono::milliseconds max_retry_delay{1'000};
 		constexpr std::uint32_t max_retry_doublings = 3;
 
+		/// Shortest time for which the store may hold a watch.
+		constexpr std::chrono::milliseconds min_watch_wait{1};
+
 		void record_answer(store_follower& follower, monotonic_time now) noexcept
 		{
 			if (follower.unreachable)
@@ -69,6 +72,11 @@
 		follower.recovered_at = now;
 	}
 
+	std::chrono::milliseconds next_watch_wait(const store_follower& follower) noexcept
+	{
+		return follower.unreachable ? min_watch_wait : follower.watch_wait;
+	}
+
 	void list_again(store_follower& follower, monotonic_time now) noexcept
 	{
 		follower.next_call_at = now;
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -131,6 +131,23 @@
 			EXPECT_TRUE(known.revisions.contains("servers/b"));
 		}
 
+		// Guards against a watch that waits for 10 s at a restored store that has given out the watched revision again:
+		// only an answer shows the later era.
+		TEST_F(store_reader_on_loopback, watches_briefly_after_a_failure)
+		{
+			answers = {{.status = 200, .body = R"({"items":[],"has_more":false,"as_of":9,"era":1})"},
+					   {.status = 503, .body = {}},
+					   {.status = 200, .body = R"({"events":[],"as_of":9,"era":2})"},
+					   {.status = 200, .body = R"({"items":[],"has_more":false,"as_of":9,"era":2})"},
+					   {.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			read(reader);
+			ASSERT_GE(calls.size(), 4U);
+			EXPECT_TRUE(calls[1].ends_with("&wait_ms=10000")) << calls[1];
+			EXPECT_TRUE(calls[2].ends_with("&wait_ms=1")) << calls[2];
+			EXPECT_TRUE(calls[3].starts_with("/kv-range")) << calls[3];
+		}
+
 		// Guards against a late answer of the lost history that is applied after the store was restored.
 		TEST_F(store_reader_on_loopback, drops_answer_of_a_former_era)
 		{
