Read a configuration from others that the store does not deliver

A process that starts after the store was restored reads the copy's configuration and steers by it until the operator has written the newest one again, although every other process knows it. Orders were read from another process only while the store was out of reach, and only if its revision was newer; the copy's record may have the later revision.

A process that has lacked a configuration version named in messages for longer than a call takes now reads it there. Of a listing that is not newer as a whole only the configuration is taken, if its version is higher.

store_reader_on_loopback.applies_relayed_configuration_with_higher_version fails without the second part.

--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -118,6 +118,21 @@
 	[[nodiscard]] bool is_answer_overdue(store_follower& follower, store_revision revision,
 										 monotonic_time now) noexcept;
 
+	/// Configuration version that another process knows and this one does not.
+	struct newer_version
+	{
+		monotonic_time known_since{}; ///< When a message named a newer version first, or zero.
+		std::uint64_t own = 0;        ///< Version of this process at that time.
+	};
+
+	/// Handles the configuration version that another process names. A process that starts after the store was restored
+	/// reads the copy's configuration until the operator has written the newest one again.
+	/// \param own	Version in force in this process.
+	/// \returns	Whether the configuration is to be read from the other process, since this one has lacked a newer
+	///				version for longer than a call takes.
+	[[nodiscard]] bool is_version_overdue(newer_version& newer, std::uint64_t own, std::uint64_t reported,
+										  monotonic_time now) noexcept;
+
 	/// Returns whether missing entries may be registered again, because the store is or was recently unreachable.
 	[[nodiscard]] bool is_settling(const store_follower& follower, monotonic_time now) noexcept;
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -145,7 +145,7 @@
 					}
 					++node_.messages.received[static_cast<std::size_t>(msg->kind)];
 					const auto balancer = msg->kind == message_kind::probe ? msg->reply_to : from->ip;
-					node_.handle_orders_revision(balancer, msg->orders_revision, balancer);
+					node_.handle_reported_orders(balancer, *msg, balancer);
 					if (msg->kind == message_kind::subscribe)
 					{
 						handle_subscribe(*msg, from->ip);
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -144,7 +144,7 @@
 					if (msg && from)
 					{
 						++node_.messages.received[static_cast<std::size_t>(msg->kind)];
-						node_.handle_orders_revision(from->ip, msg->orders_revision, msg->other_balancer);
+						node_.handle_reported_orders(from->ip, *msg, msg->other_balancer);
 						handle_message(*msg, from->ip);
 					}
 				}
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -121,12 +121,13 @@
 		return {.status = 404, .body = {}};
 	}
 
-	void node::handle_orders_revision(steering::ipv4 instance, const steering::store_revision& revision,
-									  steering::ipv4 balancer)
+	void node::handle_reported_orders(steering::ipv4 instance, const steering::message& msg, steering::ipv4 balancer)
 	{
+		const auto& revision = msg.orders_revision;
 		orders_reader.handle_known_revision(revision);
 		upstreams_reader.handle_known_revision({.era = revision.era, .number = 0});
 		const auto now = loop.now();
+		const bool version_overdue = is_version_overdue(newer_version, catalog.version, msg.version, now);
 		if (now - last_relay_request < relay_interval)
 		{
 			return;
@@ -134,7 +135,7 @@
 		const bool orders_wanted = orders_reader.state().unreachable && revision > catalog.orders_revision;
 		const bool upstreams_wanted = upstreams_reader.state().unreachable && !upstreams_reader.state().listed_once &&
 									  balancer != steering::ipv4{};
-		if (orders_wanted)
+		if (orders_wanted || version_overdue)
 		{
 			fetch_records(instance, orders_relay, orders_path, orders_reader);
 		}
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -42,15 +42,15 @@
 
 		/// Handles the newest revision of operator orders that another process reports. While the store is unreachable,
 		/// newer orders are read from that process, and the upstream entries are read from `balancer` if none have been
-		/// read yet.
+		/// read yet. A newer configuration is also read there if the store has not delivered it for a while.
 		///
 		/// Load pattern: the store rejects some instances for seconds while the operator changes routes or processes
 		/// restart; without this fallback they place flows by an outdated configuration, which agents decline, or
 		/// serve no caller at all.
 		/// \param instance	Instance of the reporting process.
+		/// \param msg		Its message.
 		/// \param balancer	Balancer that knows all upstream entries, or zero.
-		void handle_orders_revision(steering::ipv4 instance, const steering::store_revision& revision,
-									steering::ipv4 balancer);
+		void handle_reported_orders(steering::ipv4 instance, const steering::message& msg, steering::ipv4 balancer);
 
 		/// Makes the status server listen. Failure to serve metrics on `metrics_port` is only logged.
 		/// \returns	An empty string, or the reason why the readiness check cannot be served.
@@ -78,6 +78,7 @@
 		std::unique_ptr<http_connection> orders_relay;    ///< Reads orders from another process.
 		std::unique_ptr<http_connection> upstreams_relay; ///< Reads upstream entries from another process.
 		monotonic_time last_relay_request;
+		steering::newer_version newer_version;
 		std::uint64_t datagrams_refused = 0;  ///< Datagrams that the operating system did not accept for sending.
 		steering::message_counts messages;    ///< Exchanged with other processes.
 		std::uint64_t searches = 0;           ///< Searches for holders that were started.
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -322,11 +322,25 @@
 		const auto response = decode(result);
 		const bool orders = group_ == steering::record_group::operator_orders;
 		const auto newest = orders ? catalog_.orders_revision : follower_.revision;
-		if (response.result != platform::store_response::outcome::complete || response.revision <= newest ||
-			response.records.empty())
+		const auto version = catalog_.version;
+		if (response.result != platform::store_response::outcome::complete || response.records.empty())
 		{
 			return;
 		}
+		const bool newer = response.revision > newest;
+		newer ? apply_relayed_listing(response) : apply_relayed_configuration(response);
+		if (newer || catalog_.version != version)
+		{
+			log_.write(log_level::info, orders ? "orders_relayed" : "upstreams_relayed",
+					   "records read from another process that knows newer ones",
+					   {{"era", std::to_string(response.revision.era)},
+						{"revision", std::to_string(response.revision.number)},
+						{"version", std::to_string(catalog_.version)}});
+		}
+	}
+
+	void store_reader::apply_relayed_listing(const platform::store_response& response)
+	{
 		std::set<std::string> listed;
 		for (const auto& record : response.records)
 		{
@@ -334,16 +348,22 @@
 			listed.insert(record.key);
 		}
 		finish_listing(listed, response.revision);
-		if (orders)
+		if (group_ == steering::record_group::operator_orders)
 		{
 			catalog_.orders_revision = std::max(catalog_.orders_revision, response.revision);
 		}
 		follower_.listed_once = true;
-		log_.write(log_level::info, orders ? "orders_relayed" : "upstreams_relayed",
-				   "records read from another process while the metadata store is unreachable",
-				   {{"era", std::to_string(response.revision.era)},
-					{"revision", std::to_string(response.revision.number)},
-					{"version", std::to_string(catalog_.version)}});
+	}
+
+	void store_reader::apply_relayed_configuration(const platform::store_response& response)
+	{
+		for (const auto& record : response.records)
+		{
+			if (std::holds_alternative<steering::configuration>(record.value))
+			{
+				apply(record);
+			}
+		}
 	}
 
 	void store_reader::log_service_limits()
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -50,7 +50,8 @@
 		/// Returns the records of the group as a listing for another process.
 		[[nodiscard]] std::string listing() const;
 
-		/// Applies records of the group that another process sent; records that are not newer are ignored.
+		/// Applies records of the group that another process sent. Of a listing that is not newer, only a configuration
+		/// with a higher version is applied.
 		void apply_relayed(const http_result& result);
 
 		/// Ends a pause between calls, so that pending changes are read immediately.
@@ -83,6 +84,10 @@
 		/// Removes the records that a complete listing lacks, also from what is served to other processes.
 		void finish_listing(const std::set<std::string>& listed, const steering::store_revision& revision);
 		void apply_watch(const platform::store_response& response);
+		void apply_relayed_listing(const platform::store_response& response);
+
+		/// Applies the configuration of a listing that is not newer as a whole.
+		void apply_relayed_configuration(const platform::store_response& response);
 		void update_encoded(const steering::store_record& record);
 		void log_service_limits();
 		void handle_failure(const std::string& reason);
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -115,6 +115,20 @@
 		return now - since > call_timeout;
 	}
 
+	bool is_version_overdue(newer_version& newer, std::uint64_t own, std::uint64_t reported,
+							monotonic_time now) noexcept
+	{
+		if (own == 0 || reported <= own)
+		{
+			return false;
+		}
+		if (newer.known_since == monotonic_time{} || newer.own != own)
+		{
+			newer = {.known_since = now, .own = own};
+		}
+		return now - newer.known_since > call_timeout;
+	}
+
 	bool is_settling(const store_follower& follower, monotonic_time now) noexcept
 	{
 		return follower.unreachable ||
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -1,3 +1,4 @@
+#include "base64_text.hpp"
 #include "platform/packet_format.hpp"
 #include "platform/settings.hpp"
 #include "platform/store_format.hpp"
@@ -112,15 +113,6 @@
 			EXPECT_EQ(relayed.records.at(0).revision.number, 7U);
 		}
 
-		[[nodiscard]] std::string base64(std::string_view text)
-		{
-			std::string encoded(sodium_base64_encoded_len(text.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-			sodium_bin2base64(encoded.data(), encoded.size(), reinterpret_cast<const unsigned char*>(text.data()),
-							  text.size(), sodium_base64_VARIANT_ORIGINAL);
-			encoded.resize(encoded.find('\0'));
-			return encoded;
-		}
-
 		[[nodiscard]] steering::record_value decode_one(const std::string& key, std::string_view value)
 		{
 			const auto response = decode_response(200, "",
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -348,6 +348,18 @@
 			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, start + 10s));
 		}
 
+		// Guards against a process that places flows by an old configuration because it started when the restored store
+		// did not have the newest one again.
+		TEST_F(steering_store_follower, lacks_configuration_that_others_have_known_for_longer_than_a_call)
+		{
+			newer_version newer;
+			EXPECT_FALSE(is_version_overdue(newer, 6, 9, start));
+			EXPECT_FALSE(is_version_overdue(newer, 6, 6, start + call_timeout));
+			EXPECT_TRUE(is_version_overdue(newer, 6, 9, start + call_timeout + 1ms));
+			EXPECT_FALSE(is_version_overdue(newer, 7, 9, start + 2 * call_timeout)) << "the store delivers versions";
+			EXPECT_FALSE(is_version_overdue(newer, 0, 9, start + 9s)) << "the first listing is on its way";
+		}
+
 		// Guards against relying on the store's contents while expired entries are still being renewed.
 		TEST_F(steering_store_follower, is_settling_until_entries_had_time_to_return)
 		{
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -1,3 +1,4 @@
+#include "base64_text.hpp"
 #include "node/status_server.hpp"
 #include "node/store_reader.hpp"
 
@@ -192,6 +193,27 @@
 			EXPECT_FALSE(known.evacuations.contains("a"));
 		}
 
+		// Guards against a configuration that another process knows but that is refused, since the restored store has
+		// given the record of the older one a later revision.
+		TEST_F(store_reader_on_loopback, applies_relayed_configuration_with_higher_version)
+		{
+			const auto listing = [](int version, int era, int revision)
+			{
+				const auto body = fmt::format(R"({{"version":{},"routes":[]}})", version);
+				return fmt::format(
+					R"({{"items":[{{"key":"op/config","value":"{}","revision":{}}}],"as_of":{},"era":{}}})",
+					base64(body), revision, revision, era);
+			};
+			answers = {{.status = 200, .body = listing(6, 2, 15)}, {.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::operator_orders, 1};
+			read(reader);
+			ASSERT_EQ(known.version, 6U);
+			reader.apply_relayed({.status = 200, .body = listing(9, 1, 14), .error = {}, .header = {}});
+			EXPECT_EQ(known.version, 9U);
+			reader.apply_relayed({.status = 200, .body = listing(8, 1, 13), .error = {}, .header = {}});
+			EXPECT_EQ(known.version, 9U);
+		}
+
 		// Guards against an agent that learns of its upstream's restart and still waits up to 30 s for a change of the
 		// former entry.
 		TEST_F(store_reader_on_loopback, ends_pending_watch_of_one_key_when_the_scope_widens)
