Give each store reader test its own address; fuzz listings with eras

Four of the new store_reader_on_loopback tests failed when ctest ran them in parallel: all listened on 127.0.0.1:17431. Each process now takes an address of 127.0.0.0/8 from its id.

--- a/fuzz/platform_store.cpp
+++ b/fuzz/platform_store.cpp
@@ -85,8 +85,8 @@
 	for (int i = 0; i < inputs; ++i)
 	{
 		now += std::chrono::milliseconds{1};
-		const auto response =
-			platform::decode_response(200, "", make_input(static_cast<std::uint64_t>(i) + random.below(3), random));
+		const auto response = platform::decode_response(
+			200, std::to_string(random.below(4)), make_input(static_cast<std::uint64_t>(i) + random.below(3), random));
 		const auto previous_version = known.version;
 		std::set<std::string> listed;
 		for (const auto& it : response.records)
@@ -97,7 +97,7 @@
 			apply_record(known, group, it, now);
 			listed.insert(it.key);
 		}
-		finish_listing(known, steering::record_group::upstreams, listed, now);
+		finish_listing(known, steering::record_group::upstreams, listed, response.revision, now);
 		expire_former(known, now);
 		accepted += response.result == platform::store_response::outcome::complete ? 1 : 0;
 		if (known.version < previous_version)
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 #include <deque>
 #include <string>
@@ -21,6 +22,16 @@
 			return fmt::format(R"({{"key":"{}","value":"e30=","revision":{},"created":1,"lease":0}})", key, revision);
 		}
 
+		/// Returns an address on loopback for this process. Tests run in parallel, each in its own process.
+		[[nodiscard]] endpoint own_address()
+		{
+			constexpr unsigned byte_bits = 8;
+			constexpr unsigned byte = 0xff;
+			const auto id = static_cast<unsigned>(::getpid());
+			return *parse_endpoint(fmt::format("127.{}.{}.{}:17431", 1 + (id >> 2 * byte_bits) % 100,
+											   (id >> byte_bits) & byte, 1 + (id & byte) % 254));
+		}
+
 		/// Reader of the upstream entries, against a store on loopback whose answers are scripted.
 		class store_reader_on_loopback : public ::testing::Test
 		{
@@ -35,7 +46,7 @@
 									calls.emplace_back(target);
 									return next_answer();
 								}};
-			endpoint address = *parse_endpoint("127.0.0.1:17431");
+			endpoint address = own_address();
 
 			status_response next_answer()
 			{
