Read a restored configuration service once it has settled

The product's own interface has the same fault as the platform path: a restored configuration service gives out revisions again, and processes go on watching from the revision of the lost history, so they never read the records below it. Nothing told them that the history is another one, and if it did, older records with later revisions would replace newer ones everywhere.

Answers of the configuration service may hold an era, which takes the upper 16 bits of a revision, so that all comparisons between processes order by it. A process that hears of a later era, from the service or from another process, keeps its records and takes none of that era for 2.5 s, in which the operator publishes again; then a reader reads everything, and the others pull it. What is still missing then counts as withdrawn. The status, the audit trail and nutmegturnctl show the era; the test double standin-config gets /admin/restore.

--- a/apps/nutmegturnctl/explain.cpp
+++ b/apps/nutmegturnctl/explain.cpp
@@ -26,7 +26,7 @@
 				const auto* rec = record_in_force(entry);
 				if (rec != nullptr && rec->name == name)
 				{
-					return fmt::format("key {} revision {}", key, to_number(*entry.in_force));
+					return fmt::format("key {} revision {}", key, to_string(*entry.in_force));
 				}
 			}
 			return {};
@@ -50,8 +50,8 @@
 		{
 			const auto cause = service == nullptr ? reason::unknown_service : reason::no_upstream;
 			is_json ? print_json({{"reason", to_qstring(to_string(cause))},
-								  {"revision", static_cast<qint64>(to_number(current.rev))}})
-					: fmt::print("no upstream: {}, at revision {}\n", to_string(cause), to_number(current.rev));
+								  {"revision", static_cast<qint64>(number_of(current.rev))}})
+					: fmt::print("no upstream: {}, at revision {}\n", to_string(cause), to_string(current.rev));
 			return exit_no_upstream;
 		}
 		const auto upstream_name = [&](upstream_id id)
@@ -90,11 +90,11 @@
 						{"service_record", to_qstring(describe_record(store, config->name))},
 						{"upstream_record", to_qstring(describe_record(store, upstream))},
 						{"chain", chain_json},
-						{"revision", static_cast<qint64>(to_number(current.rev))}});
+						{"revision", static_cast<qint64>(number_of(current.rev))}});
 			return exit_ok;
 		}
 		fmt::print("upstream {} (agent {}), revision {}\n", upstream, to_string(primary->agent),
-				   to_number(current.rev));
+				   to_string(current.rev));
 		fmt::print("rule: {} of bucket {} (flow hash {:016x})\n", rule, service->bucket_of(hash), hash);
 		fmt::print("service {}, {}\n", config->name, describe_record(store, config->name));
 		fmt::print("upstream record: {}\n", describe_record(store, upstream));
--- a/include/nutmegturn/config_relay.hpp
+++ b/include/nutmegturn/config_relay.hpp
@@ -31,6 +31,9 @@
 		std::chrono::milliseconds pause_limit{2'000};
 		std::chrono::milliseconds view_check_timeout{1'000}; ///< Longest wait for all answers of a view check.
 		std::chrono::milliseconds pull_retry_interval{300};
+		/// Time after the first sign of a restored service in which its records are not read: it lacks what the
+		/// operator published after the copy was made, until the operator has published it again.
+		std::chrono::milliseconds restore_settling_time{2'500};
 		std::size_t readers_per_zone = 2; ///< Ranks that read while confirmations arrive.
 		std::size_t tree_fan_out = 8;     ///< Children per member in a reader's distribution tree.
 		std::size_t push_fan_out = 4;     ///< Random members of other zones that receive a new revision.
@@ -114,6 +117,8 @@
 		std::size_t expected_answers = 0; ///< Answers to wait for, the one of the service included.
 		std::size_t received_answers = 0; ///< Answers that confirm the view.
 		revision highest_revision{};      ///< Highest revision named by any source.
+		std::uint64_t later_era = 0;      ///< Latest era named by any source while the store had a former one.
+		monotonic_time later_era_seen_at{};
 		monotonic_time next_pull{};
 		std::string partial_value;         ///< Received parts of a value longer than one message.
 		revision partial_value_revision{}; ///< Revision of `partial_value`.
--- a/include/nutmegturn/ids.hpp
+++ b/include/nutmegturn/ids.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace nutmegturn
@@ -36,7 +37,9 @@
 	{
 	};
 
-	/// Configuration revision; increases with every accepted publication. 0 means that no configuration is known.
+	/// Configuration revision; increases with every accepted publication. 0 means that no configuration is known. A
+	/// service that is restored from an older copy starts another era and gives out revision numbers again; the era is
+	/// in the upper bits, so that later eras compare as greater.
 	enum class revision : std::uint64_t
 	{
 	};
@@ -58,4 +61,34 @@
 	{
 		return static_cast<std::uint64_t>(id);
 	}
+
+	/// Bits of a revision that hold its number; the era takes the others.
+	inline constexpr unsigned revision_number_bits = 48;
+
+	/// Largest era and number of a revision.
+	/// @{
+	inline constexpr std::uint64_t max_revision_era = 0x7fff;
+	inline constexpr std::uint64_t max_revision_number = (std::uint64_t{1} << revision_number_bits) - 1;
+	/// @}
+
+	/// Returns the revision with a number in an era. Services without eras use era 0.
+	[[nodiscard]] constexpr revision make_revision(std::uint64_t era, std::uint64_t number) noexcept
+	{
+		return revision{(era << revision_number_bits) | (number & max_revision_number)};
+	}
+
+	/// Returns the era of a revision.
+	[[nodiscard]] constexpr std::uint64_t era_of(revision rev) noexcept
+	{
+		return to_number(rev) >> revision_number_bits;
+	}
+
+	/// Returns the number of a revision, after its era and a dot unless that is 0.
+	[[nodiscard]] std::string to_string(revision rev);
+
+	/// Returns the number of a revision in its era.
+	[[nodiscard]] constexpr std::uint64_t number_of(revision rev) noexcept
+	{
+		return to_number(rev) & max_revision_number;
+	}
 }
--- a/src/config_relay.cpp
+++ b/src/config_relay.cpp
@@ -29,6 +29,34 @@
 			return static_cast<std::uint64_t>(n);
 		}
 
+		/// Returns whether records through the revision `named` may be taken into a store that is complete through
+		/// `known`: revisions of a later era only when the restored service has settled.
+		[[nodiscard]] bool is_settled(relay_state& state, revision known, revision named, monotonic_time now) noexcept
+		{
+			if (to_number(known) == 0 || era_of(named) <= era_of(known))
+			{
+				return true;
+			}
+			if (era_of(named) > state.later_era)
+			{
+				state.later_era = era_of(named);
+				state.later_era_seen_at = now;
+			}
+			return now - state.later_era_seen_at >= state.settings.restore_settling_time;
+		}
+
+		/// Returns the request for the next read. All records of a restored service are read once it has settled, since
+		/// a watch does not continue from a revision of a former era.
+		[[nodiscard]] start_read make_read(const relay_state& state, revision complete_through, monotonic_time now)
+		{
+			const bool restored = to_number(complete_through) != 0 && state.later_era > era_of(complete_through);
+			if (restored && now - state.later_era_seen_at >= state.settings.restore_settling_time)
+			{
+				return {revision{}, milliseconds{0}};
+			}
+			return {complete_through, state.settings.read_wait};
+		}
+
 		[[nodiscard]] wire::control_envelope make_envelope(const relay_state& state, revision complete_through)
 		{
 			wire::control_envelope envelope;
@@ -256,6 +284,10 @@
 			const auto& push = envelope.push_message;
 			const revision after{to_unsigned(push.after)};
 			auto complete_through = store.complete_through;
+			if (!is_settled(state, complete_through, revision{to_unsigned(envelope.newest)}, now))
+			{
+				return;
+			}
 			auto versions = reassemble_versions(state, push);
 			if (after <= complete_through)
 			{
@@ -320,6 +352,28 @@
 			send_confirmation(state, message, store.complete_through, out);
 		}
 
+		/// Tells the zone that the service has answered this process.
+		void confirm_service(relay_state& state, revision complete_through, relay_output& out)
+		{
+			wire::confirmation message;
+			message.rev = to_wire(complete_through);
+			message.reader = to_wire(state.self);
+			message.number = static_cast<std::int64_t>(++state.confirmation_number);
+			send_confirmation(state, message, complete_through, out);
+		}
+
+		/// Handles the answer of a service that was restored from an older copy: it is reachable, and read once it has
+		/// settled. A view check no longer waits for it.
+		void postpone_read(relay_state& state, monotonic_time since, const record_source& store, monotonic_time now,
+						   relay_output& out)
+		{
+			state.is_reader = since != state.view_check_started_at;
+			state.confirmed_at = now;
+			state.next_read = std::max(now, state.later_era_seen_at + state.settings.restore_settling_time);
+			state.expected_answers -= !state.is_view_current && state.expected_answers > 0 ? 1 : 0;
+			confirm_service(state, store.complete_through, out);
+		}
+
 		/// Returns whether this process should read from the service now.
 		[[nodiscard]] bool should_read(const relay_state& state, monotonic_time now) noexcept
 		{
@@ -387,7 +441,9 @@
 		{
 			on_push(state, source, envelope, store, now, rng, out);
 		}
-		else if (revision{to_unsigned(envelope.newest)} > store.complete_through && now >= state.next_pull)
+		else if (const revision newest{to_unsigned(envelope.newest)};
+				 newest > store.complete_through && now >= state.next_pull &&
+				 is_settled(state, store.complete_through, newest, now))
 		{
 			state.next_pull = now + state.settings.pull_retry_interval;
 			send_pull(state, source, store.complete_through, out);
@@ -403,6 +459,14 @@
 	{
 		const auto since = state.read_started_at.value_or(now);
 		state.read_started_at.reset();
+		const bool settled = is_settled(state, store.complete_through, result.rev, now);
+		const bool restored =
+			to_number(store.complete_through) != 0 && era_of(result.rev) > era_of(store.complete_through);
+		if (result.succeeded && restored && (!settled || result.after != revision{}))
+		{
+			postpone_read(state, since, store, now, out);
+			return;
+		}
 		// A response of a stale service counts as a failed read, and its records are ignored.
 		const bool is_up_to_date = result.succeeded && result.rev >= store.complete_through;
 		// The read of a view check does not make this process a reader. Otherwise, all processes would read when
@@ -432,21 +496,18 @@
 		if (result.rev > store.complete_through)
 		{
 			out.applies.push_back({result.records, result.rev, result.after == revision{}});
-			// Changes that do not fit in one message are not pushed: members see the new revision and pull them.
+			// Changes that do not fit in one message are not pushed: members see the new revision and pull them. So are
+			// the records of a restored service, whose response does not tell which records are gone.
 			auto versions = result.records;
 			std::ranges::sort(versions, {}, &record_version::rev); // the order of the service is unspecified
 			auto push = make_push_chunk(versions, result.after, result.rev, 0);
-			if (revision{to_unsigned(push.rev)} == result.rev)
+			if (!restored && revision{to_unsigned(push.rev)} == result.rev)
 			{
 				forward_push(state, push, state.self, result.rev, rng, out);
 			}
 		}
 		state.highest_revision = std::max(state.highest_revision, result.rev);
-		wire::confirmation message;
-		message.rev = to_wire(result.rev);
-		message.reader = to_wire(state.self);
-		message.number = static_cast<std::int64_t>(++state.confirmation_number);
-		send_confirmation(state, message, result.rev, out);
+		confirm_service(state, result.rev, out);
 	}
 
 	void relay_on_tick(relay_state& state, const record_source& store, monotonic_time now, random_source& rng,
@@ -482,9 +543,10 @@
 		if (!state.read_started_at && now >= state.next_read && should_read(state, now))
 		{
 			state.read_started_at = now;
-			out.reads.push_back({store.complete_through, state.settings.read_wait});
+			out.reads.push_back(make_read(state, store.complete_through, now));
 		}
-		if (state.highest_revision > store.complete_through && now >= state.next_pull)
+		if (state.highest_revision > store.complete_through && now >= state.next_pull &&
+			is_settled(state, store.complete_through, state.highest_revision, now))
 		{
 			state.next_pull = now + state.settings.pull_retry_interval;
 			if (const auto* peer = random_peer(state, rng, rng.below(2) == 0))
--- a/src/config_store.cpp
+++ b/src/config_store.cpp
@@ -282,8 +282,8 @@
 				{
 					loser.refusal = {loser.rev(), reason::conflict,
 									 fmt::format("{} of {} (key {}, revision {}) is in use by {} (key {}, revision {})",
-												 what, loser.rec().name, loser.key, to_number(loser.rev()),
-												 winner.rec().name, winner.key, to_number(winner.rev()))};
+												 what, loser.rec().name, loser.key, to_string(loser.rev()),
+												 winner.rec().name, winner.key, to_string(winner.rev()))};
 				}
 				++loser.version;
 				if (skip_invalid_versions(loser))
@@ -337,7 +337,7 @@
 			if (entry.in_force != before_rev)
 			{
 				const auto describe = [](std::optional<revision> rev)
-				{ return rev ? fmt::format("revision {}", to_number(*rev)) : std::string{"none"}; };
+				{ return rev ? "revision " + to_string(*rev) : std::string{"none"}; };
 				const auto newest = entry.versions.rbegin()->first;
 				events.push_back({before_rev ? audit_kind::record_replaced : audit_kind::record_accepted, named->name,
 								  fmt::format("key {}: {} -> {}", key, describe(before_rev), describe(entry.in_force)),
--- a/src/identity.cpp
+++ b/src/identity.cpp
@@ -13,6 +13,12 @@
 		return XXH3_64bits(text.data(), text.size());
 	}
 
+	std::string to_string(revision rev)
+	{
+		const auto number = std::to_string(number_of(rev));
+		return era_of(rev) == 0 ? number : std::to_string(era_of(rev)) + "." + number;
+	}
+
 	std::uint64_t flow_hash(const flow_key& key) noexcept
 	{
 		// Serialized field by field, because padding bytes must not enter the hash.
--- a/src/runtime/config_client.cpp
+++ b/src/runtime/config_client.cpp
@@ -31,8 +31,15 @@
 		{
 			return make_error(source, "", object, "an object with `revision` and `records`");
 		}
+		const auto era = object["era"].toInteger(object.contains("era") ? -1 : 0);
+		if (era < 0 || era > static_cast<qint64>(max_revision_era))
+		{
+			return make_error(source, "era", object["era"], fmt::format("a number from 0 to {}", max_revision_era));
+		}
+		const auto read_revision = [era](const QJsonValue& number)
+		{ return make_revision(static_cast<std::uint64_t>(era), static_cast<std::uint64_t>(number.toInteger())); };
 		config_response response;
-		response.rev = revision{static_cast<std::uint64_t>(object["revision"].toInteger())};
+		response.rev = read_revision(object["revision"]);
 		std::size_t index = 0;
 		for (const auto& it : object["records"].toArray())
 		{
@@ -43,8 +50,8 @@
 				return make_error(source, fmt::format("records[{}]", index), it,
 								  "`key`, `revision`, and an object or null as `value`");
 			}
-			record_version version{entry["key"].toString().toStdString(),
-								   revision{static_cast<std::uint64_t>(entry["revision"].toInteger())}, std::nullopt};
+			record_version version{entry["key"].toString().toStdString(), read_revision(entry["revision"]),
+								   std::nullopt};
 			if (value.isObject())
 			{
 				version.value = QJsonDocument{value.toObject()}.toJson(QJsonDocument::Compact).toStdString();
@@ -90,10 +97,10 @@
 			return;
 		}
 		reading_ = true;
-		const bool full = to_number(after) == 0;
+		const bool full = number_of(after) == 0;
 		const auto base = to_string(services_[next_service_]);
 		const auto url = full ? base + "/v1/records"
-							  : fmt::format("{}/v1/watch?after={}&wait_ms={}", base, to_number(after), wait.count());
+							  : fmt::format("{}/v1/watch?after={}&wait_ms={}", base, number_of(after), wait.count());
 		client_.get(url, full ? timeout : wait + timeout, http_client::default_max_bytes,
 					[this, url, full, done = std::move(done)](const http_response& response)
 					{
--- a/src/runtime/control_plane.cpp
+++ b/src/runtime/control_plane.cpp
@@ -189,7 +189,8 @@
 									   {"zone", QString::fromStdString(it.zone)},
 									   {"control", QString::fromStdString(to_string(it.control))},
 									   {"liveness", name_of(it.liveness)},
-									   {"revision", static_cast<qint64>(to_number(it.newest))}});
+									   {"era", static_cast<qint64>(era_of(it.newest))},
+									   {"revision", static_cast<qint64>(number_of(it.newest))}});
 		}
 		QJsonObject zones;
 		for (const auto& it : store_.current.zones)
@@ -204,7 +205,8 @@
 			{"role", settings_.role == member_role::agent ? "agent" : "balancer"},
 			{"zone", QString::fromStdString(settings_.zone)},
 			{"state", QString::fromStdString(process_state())},
-			{"revision", static_cast<qint64>(to_number(store_.newest))},
+			{"era", static_cast<qint64>(era_of(store_.newest))},
+			{"revision", static_cast<qint64>(number_of(store_.newest))},
 			{"reader", relay_.is_reader},
 			{"confirmed_age_ms",
 			 confirmed ? QJsonValue{static_cast<qint64>(
@@ -234,7 +236,7 @@
 	{
 		log(log_level::info, to_string(event.kind), event.detail,
 			{{"subject", event.subject},
-			 {"revision", std::to_string(to_number(event.rev))},
+			 {"revision", to_string(event.rev)},
 			 {"reason", std::string{to_string(event.why)}}});
 		audit_.append(std::move(event), read_wall_clock());
 	}
@@ -355,6 +357,7 @@
 						 if (has_value(response))
 						 {
 							 result.succeeded = true;
+							 result.after = std::get<0>(response).full ? revision{} : after;
 							 result.rev = std::get<0>(response).rev;
 							 result.records = std::get<0>(response).versions;
 						 }
--- a/standin/standin-config/main.cpp
+++ b/standin/standin-config/main.cpp
@@ -128,6 +128,10 @@
 				{
 					set_mode(request.body(), responder);
 				}
+				else if (path == "/admin/restore")
+				{
+					restore(request.body(), responder);
+				}
 				else if (path == "/admin/stats")
 				{
 					write(responder, status::Ok, stats());
@@ -200,7 +204,7 @@
 						records.append(QJsonObject{{"key", key}, {"revision", it->rev}, {"value", it->value}});
 					}
 				}
-				return {{"revision", last}, {"records", records}};
+				return {{"era", era_}, {"revision", last}, {"records", records}};
 			}
 
 			void handle_watch(const QHttpServerRequest& request, QTcpSocket* connection,
@@ -293,6 +297,26 @@
 				write(responder, status::Ok, {{"mode", it->first}});
 			}
 
+			/// Returns to the contents at a revision, which starts another era. The records in files are published
+			/// again by the next scan.
+			void restore(const QByteArray& body, QHttpServerResponder& responder)
+			{
+				const auto revision = QJsonDocument::fromJson(body).object()["revision"];
+				if (!revision.isDouble())
+				{
+					write(responder, status::BadRequest, {{"error", "expected {\"revision\":N}"}});
+					return;
+				}
+				std::erase_if(history_, [last = revision.toInteger()](const auto& it) { return it.rev > last; });
+				for (const auto& [key, value] : file_records_)
+				{
+					seen_keys_.erase(key);
+				}
+				file_records_.clear();
+				++era_;
+				write(responder, status::Ok, {{"era", era_}, {"revision", newest_revision()}});
+			}
+
 			[[nodiscard]] QJsonObject stats() const
 			{
 				return {{"reads", reads_},
@@ -367,6 +391,7 @@
 			clock::time_point last_refill_ = clock::now();
 			service_mode mode_ = service_mode::normal;
 			qint64 stale_revision_ = 0;
+			qint64 era_ = 1;
 			std::vector<publication> history_;
 			std::map<QString, QJsonValue> file_records_;
 			std::set<QString> seen_keys_;
--- a/tests/config_relay_test.cpp
+++ b/tests/config_relay_test.cpp
@@ -22,6 +22,7 @@
 			revision newest{};
 			bool down = false;
 			std::optional<revision> stale;
+			std::uint64_t era = 0;
 			std::size_t reads = 0;
 
 			void publish(const std::string& key, std::string value)
@@ -30,6 +31,19 @@
 				newest = revision{to_number(newest) + 1};
 				published[newest] = {key, newest, std::move(value)};
 			}
+
+			/// Restores the contents of an older copy, which starts another era.
+			void restore(const config_service& copy)
+			{
+				++era;
+				newest = make_revision(era, number_of(copy.newest));
+				published.clear();
+				for (const auto& [rev, it] : copy.published)
+				{
+					const auto restored = make_revision(era, number_of(rev));
+					published[restored] = {it.key, restored, it.value};
+				}
+			}
 		};
 
 		struct pending_read
@@ -76,6 +90,15 @@
 				{
 					stepped_back = stepped_back || it.complete_through < complete;
 					complete = it.complete_through;
+					for (auto& [key, known] : store)
+					{
+						const bool is_listed = std::ranges::any_of(it.records, [&key = key](const auto& version)
+																   { return version.key == key; });
+						if (it.full && !is_listed)
+						{
+							known = {key, complete, std::nullopt};
+						}
+					}
 					for (const auto& version : it.records)
 					{
 						if (auto& known = store[version.key]; known.rev <= version.rev)
@@ -104,12 +127,12 @@
 			{
 				const auto at = config->stale.value_or(config->newest);
 				const bool ok = reaches_service && !config->down;
-				if (read && (!ok || at > read->request.after || now >= read->deadline))
+				if (read && (!ok || number_of(at) > number_of(read->request.after) || now >= read->deadline))
 				{
 					read_result result{ok, read->request.after, at, {}};
 					for (const auto& [rev, it] : config->published)
 					{
-						if (rev > read->request.after && rev <= at)
+						if (number_of(rev) > number_of(read->request.after) && rev <= at)
 						{
 							result.records.push_back(it);
 						}
@@ -132,6 +155,13 @@
 				}
 			}
 
+			/// Returns the value of a key, or nothing if the key has none.
+			[[nodiscard]] std::optional<std::string> value_of(const std::string& key) const
+			{
+				const auto it = store.find(key);
+				return it == store.end() ? std::nullopt : it->second.value;
+			}
+
 			/// Returns whether the view is not current or lacks a revision.
 			[[nodiscard]] bool is_behind(revision rev) const
 			{
@@ -195,6 +225,12 @@
 				return time;
 			}
 
+			/// Returns whether all processes have this value of a key.
+			bool all_have(const std::string& key, const std::optional<std::string>& value)
+			{
+				return std::ranges::all_of(nodes, [&](const process& it) { return it.value_of(key) == value; });
+			}
+
 			bool stepped_back()
 			{
 				return std::ranges::any_of(nodes, &process::stepped_back);
@@ -284,6 +320,75 @@
 		EXPECT_LE(net.run_until_in_force(config.newest, 20s), 8s);
 	}
 
+	class config_relay_restore : public ::testing::Test
+	{
+	protected:
+		config_service config;
+		config_service copy;
+
+		void SetUp() override
+		{
+			config.era = 1;
+			config.newest = make_revision(1, 0);
+			config.publish("zone", "in");
+			config.publish("gone", "1");
+			copy = config;
+			config.publish("zone", "out");
+			config.publish("gone", "2");
+			config.publish("late", "1");
+		}
+	};
+
+	// Guards against changes that are never read after the service was restored from an older copy and gave out the
+	// known revisions again, and against a zone that is in use again until the operator has taken it out once more.
+	TEST_F(config_relay_restore, brings_changes_at_revisions_given_out_again_into_force)
+	{
+		for (std::uint64_t seed = 1; seed <= 5; ++seed)
+		{
+			auto service = config;
+			fleet net{seed % 2 == 0 ? 60U : 14U, 4, service, seed};
+			net.run(5s);
+			ASSERT_TRUE(net.all_have("zone", "out"));
+			service.restore(copy);
+			net.run(500ms);
+			EXPECT_TRUE(net.all_have("zone", "out")) << "not reverted, seed " << seed;
+			service.publish("zone", "out");
+			service.publish("new", "1");
+			net.run(7'500ms);
+			EXPECT_TRUE(net.all_have("new", "1")) << "seed " << seed;
+			EXPECT_TRUE(net.all_have("zone", "out")) << "seed " << seed;
+			EXPECT_TRUE(net.all_have("gone", "1")) << "not published again, seed " << seed;
+			EXPECT_TRUE(net.all_have("late", std::nullopt)) << "not published again, seed " << seed;
+			EXPECT_FALSE(net.stepped_back());
+			service.publish("new", "2");
+			EXPECT_LE(net.run_until_in_force(service.newest, 20s), 3s) << "seed " << seed;
+		}
+	}
+
+	// Guards against a process that starts while the restored service lacks the newest records, and whose later
+	// revision makes all others take the older ones.
+	TEST_F(config_relay_restore, keeps_records_when_a_process_starts_with_the_copy)
+	{
+		for (std::uint64_t seed = 1; seed <= 5; ++seed)
+		{
+			auto service = config;
+			fleet net{14, 4, service, seed};
+			net.run(5s);
+			service.restore(copy);
+			net.nodes[3] = net.start(3, service);
+			net.run(1s);
+			for (std::size_t i = 0; i < net.nodes.size(); ++i)
+			{
+				EXPECT_TRUE(i == 3 || net.nodes[i].value_of("zone") == "out") << "process " << i << ", seed " << seed;
+			}
+			service.publish("zone", "out");
+			net.run(7s);
+			EXPECT_TRUE(net.all_have("zone", "out")) << "seed " << seed;
+			EXPECT_FALSE(
+				std::ranges::any_of(net.nodes, [&](const process& it) { return it.is_behind(service.newest); }));
+		}
+	}
+
 	// Guards against a process that uses its old view after a pause, also when messages queued during the pause seem to
 	// confirm it.
 	TEST(config_relay, does_not_trust_its_view_after_a_pause)
--- a/tests/config_store_test.cpp
+++ b/tests/config_store_test.cpp
@@ -267,6 +267,21 @@
 		EXPECT_EQ(in_force(store), (in_force_map{{"b", 6}}));
 	}
 
+	// Guards against records of the lost history that stay in force when a restored service has given out their
+	// revisions again.
+	TEST(config_store, takes_the_full_response_of_a_later_era)
+	{
+		config_store store;
+		const std::vector former{version("a", 2, service("a", 1)), version("b", 5, service("b", 2)),
+								 version("c", 6, service("c", 3))};
+		config_store_apply_full(store, former, revision{6});
+		const auto at = [](std::uint64_t number) { return to_number(make_revision(1, number)); };
+		const std::vector restored{version("a", at(2), service("a", 1)), version("b", at(4), service("b", 7))};
+		config_store_apply_full(store, restored, make_revision(1, 5));
+		EXPECT_EQ(in_force(store), (in_force_map{{"a", at(2)}, {"b", at(4)}}));
+		EXPECT_EQ(store.complete_through, make_revision(1, 5));
+	}
+
 	// Guards against zone changes without an audit entry, and unresolved upstreams that are omitted without a report.
 	TEST(config_store, reports_zones_and_unresolved_upstreams)
 	{
--- a/tests/runtime_test.cpp
+++ b/tests/runtime_test.cpp
@@ -225,7 +225,15 @@
 		ASSERT_EQ(std::get<0>(good).versions.size(), 2U);
 		EXPECT_EQ(std::get<0>(good).versions[0].value, R"({"x":1})");
 		EXPECT_EQ(std::get<0>(good).versions[1].value, std::nullopt);
-		for (const char* text : {"", "[]", R"({"revision":4})", R"({"revision":"4","records":[]})",
+		const auto restored = parse_config_response(
+			"test", R"({"era":2,"revision":4,"records":[{"key":"a","revision":3,"value":{"x":1}}]})");
+		ASSERT_TRUE(has_value(restored));
+		EXPECT_EQ(std::get<0>(restored).rev, make_revision(2, 4));
+		EXPECT_EQ(std::get<0>(restored).versions.at(0).rev, make_revision(2, 3));
+		EXPECT_EQ(to_string(make_revision(2, 4)), "2.4");
+		EXPECT_EQ(to_string(revision{4}), "4");
+		for (const char* text : {"", "[]", R"({"revision":4})", R"({"era":"2","revision":4,"records":[]})",
+								 R"({"era":-1,"revision":4,"records":[]})", R"({"revision":"4","records":[]})",
 								 R"({"revision":4,"records":[{"key":"a","revision":3}]})",
 								 R"({"revision":4,"records":[{"revision":3,"value":{}}]})",
 								 R"({"revision":4,"records":[{"key":"a","revision":3,"value":7}]})"})
