Do not restart a listing while one of its pages is on its way

Found by reading. When a restored store had settled while a listing of several pages was read, the reader started the listing anew and would have taken the page that was on its way for the first one; the keys of the earlier pages would have counted as missing. It now waits for that listing. A change of the watch scope starts a listing only if none is in progress.

--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -184,9 +184,14 @@
 		{
 			return;
 		}
-		const bool watching = call_timer_ == 0 && follower_.next == store_follower::step::watch;
+		if (follower_.next == store_follower::step::list)
+		{
+			// A page may be on its way; a listing that starts anew would take it for its first one.
+			loop_.call_at(loop_.now() + steering::call_timeout, [this] { list_held_records(); });
+			return;
+		}
 		list_again(follower_, loop_.now());
-		if (watching)
+		if (call_timer_ == 0)
 		{
 			connection_.close();
 			call();
@@ -200,7 +205,8 @@
 			return;
 		}
 		auto scope = watch_scope_selector_();
-		if (!only_key_.empty() && scope.key != only_key_)
+		const bool watching = follower_.next == store_follower::step::watch;
+		if (watching && !only_key_.empty() && scope.key != only_key_)
 		{
 			// The watch of one key has advanced the revision past changes of other keys.
 			list_again(follower_, loop_.now());
