Keep the order of registrations over a restore of the store

Found by reading, with the causes of both matters in mind. Of the entries of one address the one registered last holds. After a restore the copy gives the entry of a former run a revision of the later era, so that it counted as registered after the present run, which the copy lacks, until that run wrote again; an upstream that was draining got flows for that time. An entry of a run that is known keeps its place in the order.

steering_catalog_restore.keeps_order_of_registrations failed before.

--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -74,10 +74,12 @@
 		{
 			const auto found = known.upstreams.find(record.key);
 			const bool added = found == known.upstreams.end();
+			const bool same_run = !added && found->second.entry.started_at_ms == entry.started_at_ms;
+			const auto registered = same_run ? found->second.registered : record.created;
 			known.upstreams[record.key] = {.key = record.key,
 										   .entry = entry,
 										   .service = key_of_service(entry.service),
-										   .registered = record.created,
+										   .registered = registered,
 										   .superseded = false,
 										   .changed_at = now,
 										   .listed = true,
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -263,6 +263,28 @@
 				<< "another revision is another evacuation";
 		}
 
+		// Guards against flows at a draining upstream that restarted shortly before the store was restored: the copy
+		// has only the entry of its former run, and gives it a later revision.
+		TEST_F(steering_catalog_restore, keeps_order_of_registrations)
+		{
+			const auto put_created =
+				[this](const std::string& key, store_revision revision, store_revision created, upstream_entry value)
+			{
+				apply_record(known, record_group::upstreams,
+							 {.key = key, .revision = revision, .created = created, .value = value, .encoded = {}},
+							 now);
+			};
+			auto present = made(upstream_readiness::draining, 2);
+			present.started_at_ms = 9'000;
+			put_created("u8", {.era = 1, .number = 12}, {.era = 1, .number = 12}, made(upstream_readiness::ready, 1));
+			put_created("u9", {.era = 1, .number = 61}, {.era = 1, .number = 60}, present);
+			ASSERT_FALSE(accepts("u8", now));
+			put_created("u8", {.era = 2, .number = 12}, {.era = 2, .number = 12}, made(upstream_readiness::ready, 1));
+			EXPECT_FALSE(accepts("u8", now));
+			put_created("u9", {.era = 2, .number = 17}, {.era = 2, .number = 17}, present);
+			EXPECT_FALSE(accepts("u8", now));
+		}
+
 		// Guards against an entry that another writer corrupted before the copy was made.
 		TEST_F(steering_catalog_restore, holds_back_unreadable_entry)
 		{
