Log records that a listing of the store lacks

A process wrote a line for each record that it applied, but none when a listing showed that a record is gone, as it does after the store dropped its history or was restored: an evacuation that was held and not published again ended without a trace in the log. Such removals now have the line of their effect, with the revision of the listing.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace nutmegturn::steering
@@ -133,8 +134,10 @@
 	/// evacuation that a restored store lacks stays in force for `restore_settling_time`.
 	/// \param listed	All keys of the listing.
 	/// \param revision	Revision of the listing.
-	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed,
-						store_revision revision, monotonic_time now);
+	/// \returns		The keys of the removed records, with the effect of each removal.
+	std::vector<std::pair<std::string, record_effect>> finish_listing(catalog& known, record_group group,
+																	  const std::set<std::string>& listed,
+																	  store_revision revision, monotonic_time now);
 
 	/// Removes upstreams and former services of routes after `former_upstream_retention`.
 	void expire_former(catalog& known, monotonic_time now);
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -249,7 +249,14 @@
 
 	void store_reader::finish_listing(const std::set<std::string>& listed, const steering::store_revision& revision)
 	{
-		steering::finish_listing(catalog_, group_, listed, revision, loop_.now());
+		for (const auto& [key, effect] : steering::finish_listing(catalog_, group_, listed, revision, loop_.now()))
+		{
+			log_.write(log_level::info, to_string(effect), "record missing in a listing of the metadata store",
+					   {{"key", key},
+						{"era", std::to_string(revision.era)},
+						{"revision", std::to_string(revision.number)},
+						{"version", std::to_string(catalog_.version)}});
+		}
 		const auto& held = era_of(catalog_, group_).held;
 		std::erase_if(encoded_, [&](const auto& it) { return !listed.contains(it.first) && !held.contains(it.first); });
 	}
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -277,9 +277,11 @@
 		return record_effect::unreadable;
 	}
 
-	void finish_listing(catalog& known, record_group group, const std::set<std::string>& listed,
-						store_revision revision, monotonic_time now)
+	std::vector<std::pair<std::string, record_effect>> finish_listing(catalog& known, record_group group,
+																	  const std::set<std::string>& listed,
+																	  store_revision revision, monotonic_time now)
 	{
+		std::vector<std::pair<std::string, record_effect>> removed;
 		enter_era(known, group, revision.era, now);
 		auto& era = known.eras[static_cast<std::size_t>(group)];
 		std::erase_if(era.held, [&listed](const auto& key) { return !listed.contains(key); });
@@ -295,8 +297,12 @@
 				era.held.insert(key);
 				continue;
 			}
-			remove_record(known, key, now);
+			if (const auto effect = remove_record(known, key, now); effect != record_effect::none)
+			{
+				removed.emplace_back(key, effect);
+			}
 		}
+		return removed;
 	}
 
 	void expire_former(catalog& known, monotonic_time now)
