--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -25,23 +25,22 @@
 			}
 		}
 
+		/// Marks all upstreams but the one that registered last at each address.
 		void mark_superseded(catalog& known)
 		{
 			std::map<ipv4_endpoint, known_upstream*> latest;
 			for (auto& [key, it] : known.upstreams)
 			{
-				auto& newest = latest[it.entry.address];
-				const bool is_newest = newest == nullptr || registered_later(it, *newest);
-				it.superseded = !is_newest;
-				if (is_newest)
+				auto& holder = latest[it.entry.address];
+				if (holder == nullptr || registered_later(it, *holder))
 				{
-					if (newest != nullptr)
-					{
-						newest->superseded = true;
-					}
-					newest = &it;
+					holder = &it;
 				}
 			}
+			for (auto& [key, it] : known.upstreams)
+			{
+				it.superseded = latest[it.entry.address] != &it;
+			}
 		}
 
 		record_effect remove_record(catalog& known, const std::string& key, monotonic_time now)
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -3,6 +3,7 @@
 #include <boost/endian/conversion.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace nutmegturn::steering
 {
@@ -60,17 +61,20 @@
 			}
 		};
 
-		/// A revision takes one 64-bit field: the era in the upper 16 bits, the number in the lower ones.
+		/// A revision takes one 64-bit field: the era in the upper 16 bits, the number in the lower ones. Larger values
+		/// are limited to these; a process then learns of newer orders from the store only.
 		constexpr unsigned number_bits = 48;
+		constexpr std::uint64_t max_number = (std::uint64_t{1} << number_bits) - 1;
+		constexpr std::uint64_t max_era = std::numeric_limits<std::uint64_t>::max() >> number_bits;
 
 		[[nodiscard]] std::uint64_t pack_revision(const store_revision& revision) noexcept
 		{
-			return (revision.era << number_bits) | revision.number;
+			return (std::min(revision.era, max_era) << number_bits) | std::min(revision.number, max_number);
 		}
 
 		[[nodiscard]] store_revision unpack_revision(std::uint64_t packed) noexcept
 		{
-			return {.era = packed >> number_bits, .number = packed & ((std::uint64_t{1} << number_bits) - 1)};
+			return {.era = packed >> number_bits, .number = packed & max_number};
 		}
 
 		constexpr std::size_t load_fields_size = 12; ///< Includes `other_balancer`.
