List a restored store once more wherever a record was held

Found by reading. The listing that ends the settling time was scheduled only when the reader itself noticed the later era. A process that read its orders from another one while the store was away knows no era; it held an evacuation of the lost history and kept it for good. So did a process that held a record of a watch. The listing now follows from the records that are held.

--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -175,19 +175,25 @@
 					{"former_era", std::to_string(follower_.revision.era)},
 					{"former_revision", std::to_string(follower_.revision.number)}});
 		steering::enter_era(follower_, revision.era, loop_.now());
-		loop_.call_at(loop_.now() + steering::restore_settling_time, [this] { list_held_records(); });
 	}
 
-	void store_reader::list_held_records()
+	void store_reader::schedule_settled_listing()
 	{
-		if (era_of(catalog_, group_).held.empty())
+		const auto& era = era_of(catalog_, group_);
+		if (!settled_listing_scheduled_ && !era.held.empty() && loop_.now() < era.settling_until)
 		{
-			return;
+			settled_listing_scheduled_ = true;
+			loop_.call_at(era.settling_until, [this] { list_settled_records(); });
 		}
+	}
+
+	void store_reader::list_settled_records()
+	{
+		settled_listing_scheduled_ = false;
 		if (follower_.next == store_follower::step::list)
 		{
 			// A page may be on its way; a listing that starts anew would take it for its first one.
-			loop_.call_at(loop_.now() + steering::call_timeout, [this] { list_held_records(); });
+			loop_.call_at(loop_.now() + steering::call_timeout, [this] { list_settled_records(); });
 			return;
 		}
 		list_again(follower_, loop_.now());
@@ -229,6 +235,7 @@
 		}
 		last_answered_call_ = call_started_;
 		follower_.next == store_follower::step::list ? apply_listing(response) : apply_watch(response);
+		schedule_settled_listing();
 	}
 
 	void store_reader::apply_listing(const platform::store_response& response)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -95,7 +95,10 @@
 		void apply(const steering::store_record& record);
 		void enter_era(const steering::store_revision& revision);
 		void log_ignored(const steering::store_record& record) const;
-		void list_held_records();
+
+		/// Schedules a listing for the time when a restored store has settled, if records are held until then.
+		void schedule_settled_listing();
+		void list_settled_records();
 
 		event_loop& loop_;
 		node_log& log_;
@@ -112,5 +115,6 @@
 		monotonic_time call_started_;                ///< Start of the latest call.
 		monotonic_time last_answered_call_;          ///< Start of the latest answered call.
 		std::uint64_t calls_ = 0;
+		bool settled_listing_scheduled_ = false;
 	};
 }
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -225,6 +225,35 @@
 			EXPECT_EQ(known.version, 9U);
 		}
 
+		// Guards against the same in a process that read its orders from another one while the store was away, and
+		// knows no era of the store yet.
+		TEST_F(store_reader_on_loopback, lists_again_after_relayed_records_of_a_former_era)
+		{
+			const auto zone = item("op/evacuate/a", 8);
+			answers = {{.status = 200, .body = R"({"items":[],"has_more":false,"as_of":7,"era":2})"},
+					   {.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::operator_orders, 1};
+			reader.apply_relayed({.status = 200,
+								  .body = fmt::format(R"({{"items":[{}],"as_of":9,"era":1}})", zone),
+								  .error = {},
+								  .header = {}});
+			ASSERT_TRUE(known.evacuations.contains("a"));
+			ASSERT_EQ(store.listen(address), "");
+			reader.set_answer_handler(
+				[this]
+				{
+					if (calls.size() == 1)
+					{
+						EXPECT_TRUE(known.evacuations.contains("a"));
+						loop.call_at(loop.now() + steering::restore_settling_time, [this] { serve_empty_listing(); });
+					}
+				});
+			reader.start();
+			loop.call_at(loop.now() + 2 * steering::restore_settling_time, [this] { loop.stop(); });
+			loop.run();
+			EXPECT_FALSE(known.evacuations.contains("a"));
+		}
+
 		// Guards against an agent that learns of its upstream's restart and still waits up to 30 s for a change of the
 		// former entry.
 		TEST_F(store_reader_on_loopback, ends_pending_watch_of_one_key_when_the_scope_widens)
