Ignore an entry that a run published before the known one

A write that reaches the store late gives an earlier entry of an upstream a later revision: an upstream that drains is listed as ready again until its next heartbeat. Within a run the sequence number orders entries, so an entry with a lower one is now ignored in every era, not only after a restore. Runs are told apart by their start; an upstream that publishes no start is not affected.

steering_catalog_restore.ignores_entry_with_lower_sequence_number_of_the_same_run failed before.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -125,8 +125,8 @@
 	/// come from several sources in any order. Of configurations, the one with the highest version is in force.
 	///
 	/// The first record of a key in a later era may be older than the known one. Versions, start times and sequence
-	/// numbers show that; such a record is held back for `restore_settling_time`, and for good if it is an earlier
-	/// entry of the same run of an upstream, which may be draining by now.
+	/// numbers show that; such a record is held back for `restore_settling_time`. An earlier entry of the same run of a
+	/// listed upstream is never applied, since the upstream may be draining by now.
 	/// \param group	Group of the record's key.
 	record_effect apply_record(catalog& known, record_group group, const store_record& record, monotonic_time now);
 
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -181,40 +181,59 @@
 			return keys;
 		}
 
-		/// Returns whether an entry that a restored store lists is older than the known one.
+		/// Returns whether an entry was published before the known one by the same run of an upstream, for example
+		/// since it reached the store late or comes from an older copy. A restored store may hold such an entry of an
+		/// upstream whose lease had ended but that lives.
+		[[nodiscard]] bool is_former_entry_of_run(const catalog& known, const store_record& record)
+		{
+			const auto* entry = std::get_if<upstream_entry>(&record.value);
+			const auto found = known.upstreams.find(record.key);
+			if (entry == nullptr || found == known.upstreams.end())
+			{
+				return false;
+			}
+			const auto& upstream = found->second;
+			const bool same_run = entry->started_at_ms != 0 && entry->started_at_ms == upstream.entry.started_at_ms;
+			const bool same_era = known.revisions.at(record.key).era == record.revision.era;
+			return same_run && entry->sequence < upstream.entry.sequence && (upstream.listed || same_era);
+		}
+
+		/// Returns whether an entry that a store lists shortly after it was restored is older than the known one.
 		[[nodiscard]] bool is_older_entry(const known_upstream& upstream, const upstream_entry& listed,
-										  std::uint64_t era, bool settling)
+										  std::uint64_t era)
 		{
 			const auto& entry = upstream.entry;
 			const auto known_age = std::tie(entry.started_at_ms, entry.sequence);
 			const auto listed_age = std::tie(listed.started_at_ms, listed.sequence);
 			if (upstream.listed)
 			{
-				const bool same_run = listed.started_at_ms == entry.started_at_ms;
-				return listed_age < known_age && (settling || same_run);
+				return listed_age < known_age;
 			}
 			// The upstream had left before the store was restored.
-			return settling && upstream.removed_era < era && listed_age <= known_age;
+			return upstream.removed_era < era && listed_age <= known_age;
 		}
 
 		/// Returns whether the first record of a key in a later era was already replaced in an earlier one.
 		[[nodiscard]] bool is_older_copy(const catalog& known, record_group group, const store_record& record,
 										 monotonic_time now)
 		{
-			const bool settling = now < era_of(known, group).settling_until;
+			if (now >= era_of(known, group).settling_until)
+			{
+				return false;
+			}
 			const auto upstream = known.upstreams.find(record.key);
 			if (const auto* entry = std::get_if<upstream_entry>(&record.value))
 			{
 				return upstream != known.upstreams.end() &&
-					   is_older_entry(upstream->second, *entry, record.revision.era, settling);
+					   is_older_entry(upstream->second, *entry, record.revision.era);
 			}
 			if (std::holds_alternative<zone_evacuation>(record.value))
 			{
 				const auto ended = known.ended_evacuations.find(record.key);
-				return settling && ended != known.ended_evacuations.end() && ended->second == record.revision.number;
+				return ended != known.ended_evacuations.end() && ended->second == record.revision.number;
 			}
-			return settling && std::holds_alternative<unreadable_record>(record.value) &&
-				   upstream != known.upstreams.end() && upstream->second.listed;
+			return std::holds_alternative<unreadable_record>(record.value) && upstream != known.upstreams.end() &&
+				   upstream->second.listed;
 		}
 	}
 
@@ -237,9 +256,13 @@
 		}
 		enter_era(known, group, record.revision.era, now);
 		auto& held = known.eras[static_cast<std::size_t>(group)].held;
-		if (record.revision.era > newest.era && is_older_copy(known, group, record, now))
+		const bool later_era = record.revision.era > newest.era;
+		if (is_former_entry_of_run(known, record) || (later_era && is_older_copy(known, group, record, now)))
 		{
-			held.insert(record.key);
+			if (later_era)
+			{
+				held.insert(record.key);
+			}
 			return record_effect::none;
 		}
 		held.erase(record.key);
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -215,6 +215,18 @@
 					  record_effect::upstream_changed);
 		}
 
+		// Guards against new flows at a draining upstream whose earlier entry reached the store late.
+		TEST_F(steering_catalog_restore, ignores_entry_with_lower_sequence_number_of_the_same_run)
+		{
+			put_at("u1", {.era = 1, .number = 20}, made(upstream_readiness::draining, 10));
+			EXPECT_EQ(put_at("u1", {.era = 1, .number = 21}, made(upstream_readiness::ready, 9)), record_effect::none);
+			EXPECT_FALSE(accepts("u1", now));
+			auto next_run = made(upstream_readiness::ready, 1);
+			next_run.started_at_ms = 6'000;
+			EXPECT_EQ(put_at("u1", {.era = 1, .number = 22}, next_run), record_effect::upstream_changed);
+			EXPECT_TRUE(accepts("u1", now)) << "a later run counts anew";
+		}
+
 		// Guards against an upstream that has left and is used again, and against one that lives and is never used.
 		TEST_F(steering_catalog_restore, holds_back_entry_of_upstream_that_left)
 		{
