--- a/include/nutmegturn/steering/store_revision.hpp
+++ b/include/nutmegturn/steering/store_revision.hpp
@@ -14,7 +14,6 @@
 
 		// clang-tidy 14 takes the comparison with 0 in the defaulted operator for a null pointer.
 		// NOLINTNEXTLINE(modernize-use-nullptr)
-		[[nodiscard]] friend constexpr auto operator<=>(const store_revision&,
-														const store_revision&) noexcept = default;
+		[[nodiscard]] friend constexpr auto operator<=>(store_revision, store_revision) noexcept = default;
 	};
 }
