--- a/src/config_relay.cpp
+++ b/src/config_relay.cpp
@@ -1,6 +1,7 @@
 #include "nutmegturn/config_relay.hpp"
 
 #include "nutmegturn/control_codec.hpp"
+#include "nutmegturn/impl/config_push.hpp"
 
 #include <algorithm>
 #include <iterator>
@@ -10,25 +11,12 @@
 {
 	namespace
 	{
+		using detail::make_push_chunk;
+		using detail::reassemble_versions;
+		using detail::to_unsigned;
+		using detail::to_wire;
 		using std::chrono::milliseconds;
 
-		constexpr std::size_t record_overhead_bytes = 32;
-
-		[[nodiscard]] std::int64_t to_wire(revision rev) noexcept
-		{
-			return static_cast<std::int64_t>(rev);
-		}
-
-		[[nodiscard]] std::int64_t to_wire(member_id id) noexcept
-		{
-			return static_cast<std::int64_t>(id);
-		}
-
-		[[nodiscard]] std::uint64_t to_unsigned(std::int64_t n) noexcept
-		{
-			return static_cast<std::uint64_t>(n);
-		}
-
 		/// Returns whether records through the revision `named` may be taken into a store that is complete through
 		/// `known`: revisions of a later era only when the restored service has settled.
 		[[nodiscard]] bool is_settled(relay_state& state, revision known, revision named, monotonic_time now) noexcept
@@ -93,62 +81,6 @@
 			}
 		}
 
-		[[nodiscard]] wire::record_version to_wire(const record_version& it)
-		{
-			wire::record_version out;
-			out.key = it.key;
-			out.rev = to_wire(it.rev);
-			if (it.value)
-			{
-				out.__set_value(*it.value);
-			}
-			return out;
-		}
-
-		/// Returns as many versions after a revision as fit in one message; `rev` is the revision through which they
-		/// are complete. A version that is too large for one message is sent in parts, one for each pull.
-		[[nodiscard]] wire::config_push make_push_chunk(const std::vector<record_version>& versions, revision after,
-														revision complete_through, std::size_t offset)
-		{
-			wire::config_push push;
-			push.after = to_wire(after);
-			push.rev = to_wire(after);
-			push.chunks = 1;
-			std::size_t bytes = 0;
-			for (std::size_t i = 0; i < versions.size(); ++i)
-			{
-				const auto& it = versions[i];
-				const auto size = record_overhead_bytes + it.key.size() + (it.value ? it.value->size() : 0);
-				if (bytes + size > max_control_chunk_bytes)
-				{
-					if (i == 0 && it.value)
-					{
-						auto part = to_wire(it);
-						const auto from = std::min(offset, it.value->size());
-						part.__set_value(
-							it.value->substr(from, max_control_chunk_bytes - record_overhead_bytes - it.key.size()));
-						part.__set_offset(static_cast<std::int32_t>(from));
-						part.__set_total(static_cast<std::int32_t>(it.value->size()));
-						push.records.push_back(part);
-					}
-					return push;
-				}
-				bytes += size;
-				push.records.push_back(to_wire(it));
-				// Complete through a revision only when it includes all versions of that revision.
-				if (i + 1 == versions.size() || versions[i + 1].rev != it.rev)
-				{
-					push.rev = to_wire(it.rev);
-				}
-				if (push.records.size() == max_control_elements)
-				{
-					return push;
-				}
-			}
-			push.rev = to_wire(std::max(complete_through, after));
-			return push;
-		}
-
 		void send_pull(relay_state& state, const endpoint& to, revision complete_through, relay_output& out)
 		{
 			wire::config_pull pull;
@@ -247,37 +179,6 @@
 			out.sends.push_back({source, envelope});
 		}
 
-		/// Collects the parts of long values and returns the complete versions.
-		[[nodiscard]] std::vector<record_version> reassemble_versions(relay_state& state, const wire::config_push& push)
-		{
-			std::vector<record_version> versions;
-			for (const auto& it : push.records)
-			{
-				const revision rev{to_unsigned(it.rev)};
-				if (!it.__isset.total)
-				{
-					versions.push_back({it.key, rev, it.__isset.value ? std::optional{it.value} : std::nullopt});
-					continue;
-				}
-				constexpr std::int32_t max_value_bytes = 1 << 20;
-				if (rev != state.partial_value_revision)
-				{
-					state.partial_value.clear();
-					state.partial_value_revision = rev;
-				}
-				if (it.total > max_value_bytes || it.offset != static_cast<std::int32_t>(state.partial_value.size()))
-				{
-					continue;
-				}
-				state.partial_value += it.value;
-				if (state.partial_value.size() == static_cast<std::size_t>(it.total))
-				{
-					versions.push_back({it.key, rev, std::exchange(state.partial_value, {})});
-				}
-			}
-			return versions;
-		}
-
 		void on_push(relay_state& state, const endpoint& source, const wire::control_envelope& envelope,
 					 const record_source& store, monotonic_time now, random_source& rng, relay_output& out)
 		{
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -386,6 +386,15 @@
 				present.started_at_ms = started_at_ms + 20'000;
 				put(known, "u9", present, now);
 			}
+
+			/// Expects that the agent watches all entries until it knows the one of the new run.
+			void expect_search_for_new_run()
+			{
+				EXPECT_EQ(part().key, "");
+				now += 500ms;
+				register_new_run();
+				EXPECT_EQ(part().key, "u9");
+			}
 		};
 
 		// Guards against flows at a draining upstream that restarted while its agent ran: the agent watched the entry
@@ -393,10 +402,7 @@
 		TEST_F(steering_agent_upstream_restart, watches_all_entries_after_port_refused)
 		{
 			EXPECT_FALSE(handle_connection_refused(state, now).resets.empty());
-			EXPECT_EQ(part().key, "");
-			now += 500ms;
-			register_new_run();
-			EXPECT_EQ(part().key, "u9");
+			expect_search_for_new_run();
 		}
 
 		// Guards against a restart that goes unnoticed because no packet arrived while the upstream was down.
@@ -405,10 +411,7 @@
 			auto back = data();
 			back.bounced = true;
 			upstream(back);
-			EXPECT_EQ(part().key, "");
-			now += 500ms;
-			register_new_run();
-			EXPECT_EQ(part().key, "u9");
+			expect_search_for_new_run();
 		}
 
 		// Guards against the same where the upstream closed its flows before it ended, so that none was lost.
@@ -419,10 +422,7 @@
 			packet(message_kind::open, next);
 			next.bounced = true;
 			upstream(next);
-			EXPECT_EQ(part().key, "");
-			now += 500ms;
-			register_new_run();
-			EXPECT_EQ(part().key, "u9");
+			expect_search_for_new_run();
 		}
 
 		// Guards against an agent that watches all entries forever because its upstream lost a flow without a restart.
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -63,6 +63,27 @@
 				answers = {{.status = 200, .body = R"({"items":[],"has_more":false,"as_of":9,"era":2})"}};
 			}
 
+			/// Runs until a restored store that lacks the evacuation of zone `a` has settled and is listed once more.
+			/// \param restored_listing	Number of the call with its first listing.
+			void read_until_settled(store_reader& reader, std::size_t restored_listing)
+			{
+				ASSERT_EQ(store.listen(address), "");
+				reader.set_answer_handler(
+					[this, restored_listing]
+					{
+						if (calls.size() == restored_listing)
+						{
+							EXPECT_TRUE(known.evacuations.contains("a"));
+							answers = {{.status = 503, .body = {}}};
+							loop.call_at(loop.now() + steering::restore_settling_time,
+										 [this] { serve_empty_listing(); });
+						}
+					});
+				reader.start();
+				loop.call_at(loop.now() + 2 * steering::restore_settling_time, [this] { loop.stop(); });
+				loop.run();
+			}
+
 			/// Runs until the reader's catalog has been changed by all answers, at most a second.
 			void read(store_reader& reader)
 			{
@@ -187,20 +208,7 @@
 				{.status = 410, .body = {}},
 				{.status = 200, .body = R"({"items":[],"has_more":false,"as_of":7,"era":2})"}};
 			store_reader reader{loop, log, known, address, steering::record_group::operator_orders, 1};
-			ASSERT_EQ(store.listen(address), "");
-			reader.set_answer_handler(
-				[this]
-				{
-					if (calls.size() == 3)
-					{
-						EXPECT_TRUE(known.evacuations.contains("a"));
-						answers = {{.status = 503, .body = {}}};
-						loop.call_at(loop.now() + steering::restore_settling_time, [this] { serve_empty_listing(); });
-					}
-				});
-			reader.start();
-			loop.call_at(loop.now() + 2 * steering::restore_settling_time, [this] { loop.stop(); });
-			loop.run();
+			read_until_settled(reader, 3);
 			EXPECT_FALSE(known.evacuations.contains("a"));
 		}
 
@@ -238,19 +246,7 @@
 								  .error = {},
 								  .header = {}});
 			ASSERT_TRUE(known.evacuations.contains("a"));
-			ASSERT_EQ(store.listen(address), "");
-			reader.set_answer_handler(
-				[this]
-				{
-					if (calls.size() == 1)
-					{
-						EXPECT_TRUE(known.evacuations.contains("a"));
-						loop.call_at(loop.now() + steering::restore_settling_time, [this] { serve_empty_listing(); });
-					}
-				});
-			reader.start();
-			loop.call_at(loop.now() + 2 * steering::restore_settling_time, [this] { loop.stop(); });
-			loop.run();
+			read_until_settled(reader, 1);
 			EXPECT_FALSE(known.evacuations.contains("a"));
 		}
 
