Update the catalog's indexes by the changed upstream only

New test steering_catalog_restart.follows_upstreams_that_change_their_address; it holds on the former code too and guards the new indexes.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -81,11 +81,12 @@
 		std::map<std::string, known_evacuation> evacuations;    ///< By zone.
 		std::map<std::string, std::uint64_t> ended_evacuations; ///< Revision number of the last one by key.
 		std::map<std::string, monotonic_time> evacuation_ended; ///< Time when the evacuation ended, by zone.
-		std::map<service_key, std::vector<const known_upstream*>> by_service;
-		std::map<std::string, store_revision> revisions; ///< Newest known revision of each key.
-		store_revision orders_revision;                  ///< Newest revision of the group `operator_orders`.
-		std::array<group_era, 2> eras;                   ///< By `record_group`.
-		std::uint64_t unreadable_records = 0;            ///< Records ignored because they could not be decoded.
+		std::map<service_key, std::vector<const known_upstream*>> by_service; ///< Each list in the order of keys.
+		std::map<ipv4_endpoint, std::vector<known_upstream*>> by_address;     ///< Each list in the order of keys.
+		std::map<std::string, store_revision> revisions;                      ///< Newest known revision of each key.
+		store_revision orders_revision;       ///< Newest revision of the group `operator_orders`.
+		std::array<group_era, 2> eras;        ///< By `record_group`.
+		std::uint64_t unreadable_records = 0; ///< Records ignored because they could not be decoded.
 	};
 
 	/// How long an upstream without an entry remains a candidate in searches for holders.
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -16,30 +16,42 @@
 			"none",       "upstream_added", "upstream_changed", "upstream_removed",
 			"configured", "zone_evacuated", "zone_returned",    "unreadable"};
 
-		void rebuild_index(catalog& known)
+		template <typename Upstream>
+		void insert_by_key(std::vector<Upstream*>& list, known_upstream& upstream)
 		{
-			known.by_service.clear();
-			for (const auto& [key, it] : known.upstreams)
+			list.insert(std::ranges::upper_bound(list, upstream.key, {}, &known_upstream::key), &upstream);
+		}
+
+		/// Adds an upstream to the indexes, so that a change of one of many upstreams does not rebuild them.
+		void add_to_index(catalog& known, known_upstream& upstream)
+		{
+			insert_by_key(known.by_service[upstream.service], upstream);
+			insert_by_key(known.by_address[upstream.entry.address], upstream);
+		}
+
+		/// Marks all upstreams of one address but the one that registered last.
+		void mark_superseded(const std::vector<known_upstream*>& upstreams)
+		{
+			const auto holder = std::ranges::max_element(upstreams, [](const auto* a, const auto* b)
+														 { return registered_later(*b, *a); });
+			for (auto* it : upstreams)
 			{
-				known.by_service[it.service].push_back(&it);
+				it->superseded = it != *holder;
 			}
 		}
 
-		/// Marks all upstreams but the one that registered last at each address.
-		void mark_superseded(catalog& known)
+		void rebuild_index(catalog& known)
 		{
-			std::map<ipv4_endpoint, known_upstream*> latest;
+			known.by_service.clear();
+			known.by_address.clear();
 			for (auto& [key, it] : known.upstreams)
 			{
-				auto& holder = latest[it.entry.address];
-				if (holder == nullptr || registered_later(it, *holder))
-				{
-					holder = &it;
-				}
+				known.by_service[it.service].push_back(&it);
+				known.by_address[it.entry.address].push_back(&it);
 			}
-			for (auto& [key, it] : known.upstreams)
+			for (const auto& [address, upstreams] : known.by_address)
 			{
-				it.superseded = latest[it.entry.address] != &it;
+				mark_superseded(upstreams);
 			}
 		}
 
@@ -71,22 +83,30 @@
 		record_effect apply_entry(catalog& known, const store_record& record, const upstream_entry& entry,
 								  monotonic_time now)
 		{
-			const auto found = known.upstreams.find(record.key);
-			const bool added = found == known.upstreams.end();
-			const bool same_run = !added && found->second.entry.started_at_ms == entry.started_at_ms;
-			const auto registered = same_run ? found->second.registered : record.created;
-			known.upstreams[record.key] = {.key = record.key,
-										   .entry = entry,
-										   .service = key_of_service(entry.service),
-										   .registered = registered,
-										   .superseded = false,
-										   .changed_at = now,
-										   .listed = true,
-										   .removed_at = {},
-										   .removed_era = 0,
-										   .grace_until = {}};
-			rebuild_index(known);
-			mark_superseded(known);
+			const auto [found, added] = known.upstreams.try_emplace(record.key);
+			auto& upstream = found->second;
+			const auto service = key_of_service(entry.service);
+			const bool moved = !added && (upstream.service != service || upstream.entry.address != entry.address);
+			const bool same_run = !added && upstream.entry.started_at_ms == entry.started_at_ms;
+			upstream = {.key = record.key,
+						.entry = entry,
+						.service = service,
+						.registered = same_run ? upstream.registered : record.created,
+						.superseded = false,
+						.changed_at = now,
+						.listed = true,
+						.removed_at = {},
+						.removed_era = 0,
+						.grace_until = {}};
+			if (added)
+			{
+				add_to_index(known, upstream);
+			}
+			if (moved)
+			{
+				rebuild_index(known);
+			}
+			mark_superseded(known.by_address[entry.address]);
 			return added ? record_effect::upstream_added : record_effect::upstream_changed;
 		}
 
@@ -342,7 +362,6 @@
 		if (n > 0)
 		{
 			rebuild_index(known);
-			mark_superseded(known);
 		}
 		for (auto& [address, route] : known.routes)
 		{
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -104,6 +104,17 @@
 			EXPECT_FALSE(accepts("u1")) << "the former entry has no grace period";
 		}
 
+		// Guards against an upstream that stays out of use because another one had its address for a while.
+		TEST_F(steering_catalog_restart, follows_upstreams_that_change_their_address)
+		{
+			register_again("u9", 50, entry(1, "desk", "a"));
+			ASSERT_FALSE(accepts("u1"));
+			put(known, "u9", entry(9, "archive", "a"));
+			EXPECT_TRUE(accepts("u1"));
+			EXPECT_EQ(known.by_service.at(key_of_service("archive")).size(), 2U);
+			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 3U);
+		}
+
 		// Guards against an upstream that gets no flows because its clock was set back before its restart.
 		TEST_F(steering_catalog_restart, prefers_later_registration_to_later_start_time)
 		{
