Read past odd entries of other writers on both paths

Ruled out: ports of 0, 65,536 and -1, mistyped fields, broken UTF-8 and base64 were refused already, and 100,000 levels in a value did not end the process.

The status server now sends responses that do not fit into the socket's buffer, as the test of the size limit and every relayed listing of many records need.

--- a/include/nutmegturn/metrics.hpp
+++ b/include/nutmegturn/metrics.hpp
@@ -36,6 +36,7 @@
 		control_bytes_sent,
 		config_reads,
 		config_read_failures,
+		config_records_unreadable,
 		records_accepted,
 		records_rejected,
 		audit_dropped,
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -36,6 +36,7 @@
 			{"control_bytes_sent", "Bytes of control messages sent"},
 			{"config_reads", "Reads of the configuration service"},
 			{"config_read_failures", "Failed reads of the configuration service"},
+			{"config_records_unreadable", "Records of the configuration service without a readable key and revision"},
 			{"records_accepted", "Records accepted"},
 			{"records_rejected", "Records rejected"},
 			{"audit_dropped", "Audit entries dropped from the full trail"},
--- a/src/node/http_call.cpp
+++ b/src/node/http_call.cpp
@@ -21,6 +21,22 @@
 			return fmt::format("{}: {}", call, std::generic_category().message(errno));
 		}
 
+		[[nodiscard]] http_result make_failure(std::string error)
+		{
+			http_result result;
+			result.error = std::move(error);
+			return result;
+		}
+
+		/// Returns whether a response is larger than `http_connection::max_body_size`. The parser's own limit does not
+		/// hold for responses that state their length.
+		[[nodiscard]] bool exceeds_limit(const http_connection::parser& response)
+		{
+			const auto announced = response.content_length();
+			return (announced && *announced > http_connection::max_body_size) ||
+				   response.get().body().size() > http_connection::max_body_size;
+		}
+
 		[[nodiscard]] bool is_transient_error() noexcept
 		{
 			return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR || errno == EINPROGRESS ||
@@ -73,14 +89,14 @@
 		done_ = std::move(done);
 		unsent_ = fmt::format("GET {} HTTP/1.1\r\nHost: {}\r\n\r\n", target, to_string(server_));
 		parser_.emplace();
-		parser_->body_limit(max_body_size);
+		parser_->body_limit(boost::none);
 		parser_->eager(true);
 		unparsed_.clear();
 		timeout_timer_ = loop_.call_at(loop_.now() + timeout,
 									   [this]
 									   {
 										   timeout_timer_ = 0;
-										   finish({.status = 0, .body = {}, .error = "timeout", .header = {}}, false);
+										   finish(make_failure("timeout"), false);
 									   });
 		if (!fd_ && !open())
 		{
@@ -90,7 +106,7 @@
 										   [this, error = format_system_error("connect")]
 										   {
 											   timeout_timer_ = 0;
-											   finish({.status = 0, .body = {}, .error = error, .header = {}}, false);
+											   finish(make_failure(error), false);
 										   });
 			return;
 		}
@@ -116,7 +132,7 @@
 		{
 			if (!is_transient_error())
 			{
-				finish({.status = 0, .body = {}, .error = format_system_error("send"), .header = {}}, false);
+				finish(make_failure(format_system_error("send")), false);
 			}
 			return;
 		}
@@ -139,11 +155,7 @@
 			}
 			if (n <= 0)
 			{
-				finish({.status = 0,
-						.body = {},
-						.error = n == 0 ? "connection closed" : format_system_error("recv"),
-						.header = {}},
-					   false);
+				finish(make_failure(n == 0 ? "connection closed" : format_system_error("recv")), false);
 				return;
 			}
 			if (!parser_)
@@ -164,17 +176,24 @@
 		unparsed_.erase(0, consumed);
 		if (ec && ec != boost::beast::http::error::need_more)
 		{
-			finish({.status = 0, .body = {}, .error = ec.message(), .header = {}}, false);
+			finish(make_failure(ec.message()), false);
+			return;
+		}
+		if (exceeds_limit(*parser_))
+		{
+			auto failure = make_failure("response too large");
+			failure.too_large = true;
+			finish(failure, false);
 			return;
 		}
 		if (parser_->is_done())
 		{
 			const bool keep_alive = parser_->keep_alive();
-			finish({.status = static_cast<int>(parser_->get().result_int()),
-					.body = std::move(parser_->get().body()),
-					.error = {},
-					.header = std::move(parser_->get().base())},
-				   keep_alive);
+			http_result result;
+			result.status = static_cast<int>(parser_->get().result_int());
+			result.body = std::move(parser_->get().body());
+			result.header = std::move(parser_->get().base());
+			finish(result, keep_alive);
 		}
 	}
 
--- a/src/node/http_call.hpp
+++ b/src/node/http_call.hpp
@@ -20,6 +20,7 @@
 		int status = 0; ///< HTTP status; 0 when no complete response arrived.
 		std::string body;
 		std::string error;                 ///< Reason why no response arrived.
+		bool too_large = false;            ///< The response exceeds `http_connection::max_body_size`.
 		boost::beast::http::fields header; ///< Header fields of the response.
 	};
 
@@ -30,6 +31,8 @@
 		/// Maximum size of a response body, in bytes.
 		static constexpr std::size_t max_body_size = 8U << 20U;
 
+		using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
+
 		/// Creates a connection object; connects with the first request.
 		http_connection(event_loop& loop, const endpoint& server);
 		~http_connection();
@@ -52,8 +55,6 @@
 		void close();
 
 	private:
-		using parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
 		[[nodiscard]] bool open();
 		void on_ready();
 		void send_request();
--- a/src/node/status_server.cpp
+++ b/src/node/status_server.cpp
@@ -59,37 +59,41 @@
 				close_connection(connections_.begin()->first);
 			}
 			const int number = fd.get();
-			if (loop_.watch(number, [this, number] { read_requests(number); }))
+			if (loop_.watch(number, [this, number] { on_ready(number); }))
 			{
-				connections_[number] = {.fd = std::move(fd), .received = {}};
+				connections_[number].fd = std::move(fd);
 			}
 		}
 	}
 
-	void status_server::read_requests(int fd)
+	void status_server::on_ready(int fd)
 	{
 		auto& client = connections_.at(fd);
+		if (!read_requests(client) || !send_response(client) || !handle_requests(client))
+		{
+			close_connection(fd);
+		}
+	}
+
+	bool status_server::read_requests(connection& client)
+	{
 		std::array<char, max_request_size> buf{};
-		const auto n = ::recv(fd, buf.data(), buf.size(), MSG_DONTWAIT);
+		const auto n = ::recv(client.fd.get(), buf.data(), buf.size(), MSG_DONTWAIT);
 		if (n < 0 && (errno == EAGAIN || errno == EINTR))
 		{
-			return;
+			return true;
 		}
 		if (n <= 0 || client.received.size() + static_cast<std::size_t>(n) > max_request_size)
 		{
-			close_connection(fd);
-			return;
+			return false;
 		}
 		client.received.append(buf.data(), static_cast<std::size_t>(n));
-		if (!handle_requests(client))
-		{
-			close_connection(fd);
-		}
+		return true;
 	}
 
 	bool status_server::handle_requests(connection& client)
 	{
-		while (!client.received.empty())
+		while (!client.received.empty() && client.unsent.empty())
 		{
 			http::request_parser<http::empty_body> parser;
 			parser.eager(true);
@@ -104,11 +108,10 @@
 				return false;
 			}
 			client.received.erase(0, consumed);
+			client.keep_alive = parser.keep_alive();
 			const auto target = parser.get().target();
-			const auto response = format_response(handler_({target.data(), target.size()}));
-			const auto n = ::send(client.fd.get(), response.data(), response.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
-			// Responses are not queued: a client that does not read its responses is disconnected.
-			if (n != static_cast<ssize_t>(response.size()) || !parser.keep_alive())
+			client.unsent = format_response(handler_({target.data(), target.size()}));
+			if (!send_response(client))
 			{
 				return false;
 			}
@@ -116,6 +119,23 @@
 		return true;
 	}
 
+	bool status_server::send_response(connection& client)
+	{
+		if (client.unsent.empty())
+		{
+			return true;
+		}
+		const int fd = client.fd.get();
+		const auto n = ::send(fd, client.unsent.data(), client.unsent.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+		if (n < 0 && errno != EAGAIN && errno != EINTR)
+		{
+			return false;
+		}
+		client.unsent.erase(0, n > 0 ? static_cast<std::size_t>(n) : 0);
+		loop_.set_writable(fd, !client.unsent.empty());
+		return !client.unsent.empty() || client.keep_alive;
+	}
+
 	void status_server::close_connection(int fd)
 	{
 		loop_.unwatch(fd);
--- a/src/node/status_server.hpp
+++ b/src/node/status_server.hpp
@@ -41,11 +41,24 @@
 		{
 			runtime::file_descriptor fd;
 			std::string received;
+			std::string unsent; ///< Rest of the response; further requests wait for it.
+			bool keep_alive = true;
 		};
 
 		void accept_connections(int listener);
-		void read_requests(int fd);
+		void on_ready(int fd);
+
+		/// Reads what a client has sent.
+		/// \returns	Whether the connection stays open.
+		[[nodiscard]] static bool read_requests(connection& client);
+
+		/// Answers the requests that have arrived, until a response cannot be sent at once.
+		/// \returns	Whether the connection stays open.
 		[[nodiscard]] bool handle_requests(connection& client);
+
+		/// Sends as much of the response as the socket takes.
+		/// \returns	Whether the connection stays open.
+		[[nodiscard]] bool send_response(connection& client);
 		void close_connection(int fd);
 
 		event_loop& loop_;
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -18,6 +18,13 @@
 				result.header[boost::beast::string_view{platform::era_field.data(), platform::era_field.size()}];
 			return platform::decode_response(result.status, {era.data(), era.size()}, result.body);
 		}
+
+		/// Returns whether a page does not lead further in a listing, which would then be read without end.
+		[[nodiscard]] bool repeats_page(const store_follower& follower, const platform::store_response& page)
+		{
+			const bool listing = follower.next == store_follower::step::list;
+			return listing && page.has_more && !page.records.empty() && page.records.back().key <= follower.last_key;
+		}
 	}
 
 	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& catalog, const endpoint& store,
@@ -126,6 +133,15 @@
 
 	void store_reader::apply_result(const http_result& result)
 	{
+		if (result.too_large && follower_.next == store_follower::step::watch)
+		{
+			log_.write(log_level::warning, "store_answer_too_large",
+					   "changes exceed the size of an answer; listing all records again",
+					   {{"revision", std::to_string(follower_.revision.number)}});
+			restart_listing(follower_, loop_.now());
+			call_when_due();
+			return;
+		}
 		if (result.status == 0)
 		{
 			handle_failure(result.error);
@@ -140,6 +156,12 @@
 					handle_failure("answer of a former era of the store");
 					return;
 				}
+				if (repeats_page(follower_, response))
+				{
+					list_again(follower_, loop_.now());
+					handle_failure("the store repeats a page of a listing");
+					return;
+				}
 				if (follower_.unreachable)
 				{
 					log_.write(log_level::info, "store_regained", "metadata store reachable again");
--- a/src/runtime/config_client.cpp
+++ b/src/runtime/config_client.cpp
@@ -1,6 +1,7 @@
 #include "runtime/config_client.hpp"
 
 #include "nutmegturn/endpoint.hpp"
+#include "nutmegturn/impl/json_slices.hpp"
 
 #include <QJsonArray>
 #include <QJsonDocument>
@@ -21,65 +22,103 @@
 			const auto text = QJsonDocument{QJsonArray{value}}.toJson(QJsonDocument::Compact).left(200);
 			return {source, std::move(path), text.toStdString(), std::move(expected)};
 		}
+
+		/// Returns the value of a JSON text of any type; undefined if it cannot be parsed.
+		[[nodiscard]] QJsonValue parse_value(std::string_view text)
+		{
+			const QByteArray wrapped = '[' + QByteArray{text.data(), static_cast<qsizetype>(text.size())} + ']';
+			const auto values = QJsonDocument::fromJson(wrapped).array();
+			return values.isEmpty() ? QJsonValue{QJsonValue::Undefined} : values.first();
+		}
+
+		[[nodiscard]] std::string_view view(const QByteArray& text) noexcept
+		{
+			return {text.data(), static_cast<std::size_t>(text.size())};
+		}
+
+		/// Returns a whole number above 0, or nothing.
+		[[nodiscard]] std::optional<std::uint64_t> positive_number(const QJsonValue& value)
+		{
+			const auto number = value.toInteger(0);
+			return number > 0 ? std::optional{static_cast<std::uint64_t>(number)} : std::nullopt;
+		}
+
+		/// Parses one record of a response. Its value is kept as it was sent, also where it is no JSON object: the
+		/// store of records refuses it with a reason.
+		/// \returns	The record, or nothing if its key or revision cannot be read or it has no value.
+		[[nodiscard]] std::optional<record_version> parse_record_version(std::string_view text, std::uint64_t era)
+		{
+			const auto members = impl::split_json_object(text);
+			if (!members)
+			{
+				return std::nullopt;
+			}
+			const auto key = parse_value(impl::find_json_slice(*members, "key"));
+			const auto number = positive_number(parse_value(impl::find_json_slice(*members, "revision")));
+			const auto value = impl::find_json_slice(*members, "value");
+			if (!key.isString() || !number || value.empty())
+			{
+				return std::nullopt;
+			}
+			record_version version{key.toString().toStdString(), make_revision(era, *number), std::nullopt};
+			if (value != "null")
+			{
+				version.value = std::string{value};
+			}
+			return version;
+		}
 	}
 
 	result<config_response> parse_config_response(const std::string& source, const QByteArray& body)
 	{
-		const auto document = QJsonDocument::fromJson(body);
-		const auto object = document.object();
-		if (!document.isObject() || !object["revision"].isDouble() || !object["records"].isArray())
+		const auto members = impl::split_json_object(view(body)).value_or(std::vector<impl::json_slice>{});
+		const auto records = impl::split_json_array(impl::find_json_slice(members, "records"));
+		const auto number = parse_value(impl::find_json_slice(members, "revision"));
+		if (!records || !number.isDouble())
 		{
-			return make_error(source, "", object, "an object with `revision` and `records`");
+			return make_error(source, "", number, "an object with `revision` and `records`");
 		}
-		const auto era = object["era"].toInteger(object.contains("era") ? -1 : 0);
+		const auto era_text = impl::find_json_slice(members, "era");
+		const auto era_value = parse_value(era_text);
+		const auto era = era_value.toInteger(era_text.empty() ? 0 : -1);
 		if (era < 0 || era > static_cast<qint64>(max_revision_era))
 		{
-			return make_error(source, "era", object["era"], fmt::format("a number from 0 to {}", max_revision_era));
+			return make_error(source, "era", era_value, fmt::format("a number from 0 to {}", max_revision_era));
 		}
-		const auto read_revision = [era](const QJsonValue& number)
-		{ return make_revision(static_cast<std::uint64_t>(era), static_cast<std::uint64_t>(number.toInteger())); };
 		config_response response;
-		response.rev = read_revision(object["revision"]);
-		std::size_t index = 0;
-		for (const auto& it : object["records"].toArray())
+		response.rev = make_revision(static_cast<std::uint64_t>(era), static_cast<std::uint64_t>(number.toInteger()));
+		for (const auto text : *records)
 		{
-			const auto entry = it.toObject();
-			const auto value = entry["value"];
-			if (!entry["key"].isString() || !entry["revision"].isDouble() || !(value.isObject() || value.isNull()))
+			if (auto version = parse_record_version(text, static_cast<std::uint64_t>(era)))
 			{
-				return make_error(source, fmt::format("records[{}]", index), it,
-								  "`key`, `revision`, and an object or null as `value`");
+				response.versions.push_back(*std::move(version));
 			}
-			record_version version{entry["key"].toString().toStdString(), read_revision(entry["revision"]),
-								   std::nullopt};
-			if (value.isObject())
+			else
 			{
-				version.value = QJsonDocument{value.toObject()}.toJson(QJsonDocument::Compact).toStdString();
+				++response.unreadable;
 			}
-			response.versions.push_back(std::move(version));
-			++index;
 		}
 		return response;
 	}
 
 	result<std::vector<listed_instance>> parse_instance_list(const std::string& source, const QByteArray& body)
 	{
-		const auto document = QJsonDocument::fromJson(body);
-		if (!document.isObject() || !document.object()["instances"].isArray())
+		const auto members = impl::split_json_object(view(body)).value_or(std::vector<impl::json_slice>{});
+		const auto instances = impl::split_json_array(impl::find_json_slice(members, "instances"));
+		if (!instances)
 		{
-			return make_error(source, "", document.object(), "an object with `instances`");
+			return make_error(source, "", QJsonValue{}, "an object with `instances`");
 		}
 		std::vector<listed_instance> list;
-		for (const auto& it : document.object()["instances"].toArray())
+		for (const auto text : *instances)
 		{
-			const auto entry = it.toObject();
+			const auto entry = parse_value(text).toObject();
 			const auto control = parse_endpoint(entry["control"].toString().toStdString());
-			if (!entry["name"].isString() || !control)
+			if (entry["name"].isString() && control)
 			{
-				return make_error(source, fmt::format("instances[{}]", list.size()), it,
-								  "`name`, and IP:port as `control`");
+				list.push_back(
+					{entry["name"].toString().toStdString(), *control, entry["state"].toString() == "leaving"});
 			}
-			list.push_back({entry["name"].toString().toStdString(), *control, entry["state"].toString() == "leaving"});
 		}
 		return list;
 	}
--- a/src/runtime/config_client.hpp
+++ b/src/runtime/config_client.hpp
@@ -21,14 +21,16 @@
 	{
 		revision rev{};
 		std::vector<record_version> versions;
-		bool full = false; ///< Contains all records rather than only changes.
+		bool full = false;          ///< Contains all records rather than only changes.
+		std::size_t unreadable = 0; ///< Records without a readable key or revision, which are left out.
 	};
 
-	/// Parses a response of the configuration service.
+	/// Parses a response of the configuration service. Records are parsed one by one, so that an odd one of another
+	/// writer, for example one nested beyond what the JSON library parses, does not hide the others.
 	/// \returns	The response, or an error that describes the invalid field.
 	[[nodiscard]] result<config_response> parse_config_response(const std::string& source, const QByteArray& body);
 
-	/// Parses a response of the instance list.
+	/// Parses a response of the instance list. Entries without a name or an address are left out.
 	[[nodiscard]] result<std::vector<listed_instance>> parse_instance_list(const std::string& source,
 																		   const QByteArray& body);
 
--- a/src/runtime/control_plane.cpp
+++ b/src/runtime/control_plane.cpp
@@ -346,6 +346,16 @@
 		}
 	}
 
+	void control_plane::count_unreadable(std::size_t records)
+	{
+		if (records > 0)
+		{
+			metrics_.add(counter::config_records_unreadable, reason::malformed, records);
+			log(log_level::warning, "config_records_unreadable",
+				fmt::format("{} records without a readable key and revision left out", records));
+		}
+	}
+
 	void control_plane::read_config(const start_read& read)
 	{
 		metrics_.add(counter::config_reads);
@@ -360,6 +370,7 @@
 							 result.after = std::get<0>(response).full ? revision{} : after;
 							 result.rev = std::get<0>(response).rev;
 							 result.records = std::get<0>(response).versions;
+							 count_unreadable(std::get<0>(response).unreadable);
 						 }
 						 else
 						 {
--- a/src/runtime/control_plane.hpp
+++ b/src/runtime/control_plane.hpp
@@ -136,6 +136,7 @@
 		void check_pause(monotonic_time now);
 		void process_output(const relay_output& out);
 		void read_config(const start_read& read);
+		void count_unreadable(std::size_t records);
 		void read_instances();
 		void apply_changes(const store_changes& changes);
 		void process_output(const membership_output& out);
