Read upstream entries less often while minor changes follow one another

Among 136 upstreams one changes at any moment, so each balancer called at the rate that its delay of 500 ms allows.

Change: a balancer waits 2 s in place of 500 ms if fewer than one in 16 of the entries have changed and the last change is recent. The first change after a pause, and changes of much of the fleet, are still read after 500 ms. A search that needs the newest entries ends the pause, as before; agents, which decide about draining and cold start last, keep their intervals.

--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -31,6 +31,10 @@
 	/// For balancers, which place flows. A sixth of the shortest time within which a change must take effect.
 	inline constexpr std::chrono::milliseconds balancer_coalescing_delay{500};
 
+	/// For balancers, while minor changes follow one another. Two thirds of the shortest time within which a change
+	/// must take effect.
+	inline constexpr std::chrono::milliseconds balancer_minor_change_delay{2'000};
+
 	/// For agents, which only check the decisions of balancers.
 	inline constexpr std::chrono::milliseconds agent_coalescing_delay{1'000};
 
@@ -39,6 +43,16 @@
 	inline constexpr std::chrono::milliseconds identification_coalescing_delay{200};
 	/// @}
 
+	/// The changes in an answer are minor if they are fewer than one in this many of the group's records.
+	inline constexpr std::size_t minor_change_divisor = 16;
+
+	/// Size of an answer to a watch.
+	struct watch_changes
+	{
+		std::size_t changed = 0; ///< Records in the answer.
+		std::size_t known = 0;   ///< Records of the group.
+	};
+
 	/// Part of a group that a process watches.
 	struct watch_scope
 	{
@@ -57,6 +71,7 @@
 
 		step next = step::list;
 		std::chrono::milliseconds coalescing_delay = balancer_coalescing_delay;
+		std::chrono::milliseconds minor_change_delay{0}; ///< Replaces a shorter `coalescing_delay` after minor changes.
 		std::chrono::milliseconds watch_wait = balancer_watch_wait;
 		std::string last_key;               ///< Last key of the previous page; empty for the first page.
 		std::set<std::string> listed_keys;  ///< Keys in the listing so far.
@@ -67,6 +82,7 @@
 		bool unreachable = false;           ///< The last call failed.
 		std::uint32_t failures = 0;         ///< Consecutive failed calls.
 		monotonic_time last_answer;         ///< When the last complete answer arrived.
+		monotonic_time last_change_at{};    ///< When the last answer with changes arrived, or zero.
 		monotonic_time recovered_at;        ///< When the store first answered after a failure.
 		monotonic_time next_call_at;        ///< Earliest time of the next call.
 		monotonic_time newer_known_since{}; ///< When another process was found to know a newer revision, or zero.
@@ -82,9 +98,13 @@
 	bool record_listing_page(store_follower& follower, store_revision revision, const std::string& last_key, bool more,
 							 monotonic_time now);
 
-	/// Records a complete answer to a watch.
-	/// \param changed	Whether the answer contained changes.
-	void record_watch_answer(store_follower& follower, store_revision revision, bool changed, monotonic_time now);
+	/// Records a complete answer to a watch, and schedules the next one.
+	///
+	/// Load pattern: among hundreds of upstreams one starts, drains or leaves at nearly any moment. A watch with a
+	/// short delay then wakes every process for each of these changes, at the rate that the delay allows. A process
+	/// learns the first change after a pause at once; while minor ones follow, it reads them less often.
+	void record_watch_answer(store_follower& follower, store_revision revision, watch_changes changes,
+							 monotonic_time now);
 
 	/// Returns whether an answer comes from a store that has been restored from an older copy since the last answer. A
 	/// watch then does not continue from the known revision, which may have been given out again.
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -66,6 +66,7 @@
 			{
 				state_.zone = settings.zone;
 				state_.started = node_.loop.now();
+				node_.upstreams_reader.use_balancer_intervals();
 				node_.upstreams_reader.set_answer_handler([this] { searches_.on_store_answer(); });
 			}
 
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -296,7 +296,8 @@
 		{
 			apply(record);
 		}
-		record_watch_answer(follower_, response.revision, !response.records.empty(), loop_.now());
+		const steering::watch_changes changes{.changed = response.records.size(), .known = encoded_.size()};
+		record_watch_answer(follower_, response.revision, changes, loop_.now());
 	}
 
 	void store_reader::apply(const steering::store_record& record)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -31,6 +31,12 @@
 			follower_.watch_wait = steering::agent_watch_wait;
 		}
 
+		/// Reads less often while only few of the group's records change, as `record_watch_answer` describes.
+		void use_balancer_intervals() noexcept
+		{
+			follower_.minor_change_delay = steering::balancer_minor_change_delay;
+		}
+
 		/// Ends a pending watch of one key if the scope is now the whole group, and lists the group.
 		void widen_watch();
 
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -13,6 +13,14 @@
 		/// Shortest time for which the store may hold a watch.
 		constexpr std::chrono::milliseconds min_watch_wait{1};
 
+		/// Returns whether minor changes follow one another.
+		[[nodiscard]] bool is_minor(const store_follower& follower, watch_changes changes, monotonic_time now) noexcept
+		{
+			const bool continuing = follower.last_change_at != monotonic_time{} &&
+									now - follower.last_change_at <= 2 * follower.minor_change_delay;
+			return continuing && changes.changed * minor_change_divisor < changes.known;
+		}
+
 		void record_answer(store_follower& follower, monotonic_time now) noexcept
 		{
 			if (follower.unreachable)
@@ -48,11 +56,19 @@
 		return true;
 	}
 
-	void record_watch_answer(store_follower& follower, store_revision revision, bool changed, monotonic_time now)
+	void record_watch_answer(store_follower& follower, store_revision revision, watch_changes changes,
+							 monotonic_time now)
 	{
 		record_answer(follower, now);
 		follower.revision = std::max(follower.revision, revision);
-		follower.next_call_at = changed ? now + follower.coalescing_delay : now;
+		if (changes.changed == 0)
+		{
+			return;
+		}
+		const auto minor_delay =
+			is_minor(follower, changes, now) ? follower.minor_change_delay : std::chrono::milliseconds{0};
+		follower.next_call_at = now + std::max(follower.coalescing_delay, minor_delay);
+		follower.last_change_at = now;
 	}
 
 	bool is_restored(const store_follower& follower, std::uint64_t era) noexcept
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -323,6 +323,7 @@
 		{
 		protected:
 			store_follower it;
+			static constexpr watch_changes one_change{.changed = 1, .known = 1};
 		};
 
 		// Guards against changes that are lost between the pages of a listing.
@@ -365,6 +366,41 @@
 			EXPECT_EQ(it.next_call_at, start + 1'099ms);
 		}
 
+		// Guards against a fleet whose balancers all call the store twice a second, since among hundreds of upstreams
+		// one changes at any moment.
+		TEST_F(steering_store_follower, watches_less_often_while_minor_changes_follow)
+		{
+			it.coalescing_delay = balancer_coalescing_delay;
+			it.minor_change_delay = balancer_minor_change_delay;
+			constexpr watch_changes minor{.changed = 8, .known = 136};
+			constexpr watch_changes major{.changed = 9, .known = 136};
+			record_listing_page(it, {.era = 0, .number = 10}, "", false, start);
+			record_watch_answer(it, {.era = 0, .number = 18}, minor, start);
+			EXPECT_EQ(it.next_call_at, start + balancer_coalescing_delay) << "the first of a burst";
+			record_watch_answer(it, {.era = 0, .number = 26}, minor, start + 1s);
+			EXPECT_EQ(it.next_call_at, start + 1s + balancer_minor_change_delay);
+			record_watch_answer(it, {.era = 0, .number = 35}, major, start + 3s);
+			EXPECT_EQ(it.next_call_at, start + 3s + balancer_coalescing_delay);
+			record_watch_answer(it, {.era = 0, .number = 35}, {.changed = 0, .known = 136}, start + 4s);
+			EXPECT_EQ(it.next_call_at, start + 4s) << "no change";
+			record_watch_answer(it, {.era = 0, .number = 36}, minor, start + 4s + balancer_watch_wait);
+			EXPECT_EQ(it.next_call_at, start + 4s + balancer_watch_wait + balancer_coalescing_delay) << "after a pause";
+		}
+
+		// Guards against placing flows by old entries at a small site, where each change concerns much of the load.
+		TEST_F(steering_store_follower, watches_soon_after_each_change_of_few_upstreams)
+		{
+			it.coalescing_delay = balancer_coalescing_delay;
+			it.minor_change_delay = balancer_minor_change_delay;
+			record_listing_page(it, {.era = 0, .number = 10}, "", false, start);
+			for (int i = 0; i < 4; ++i)
+			{
+				const auto now = start + i * balancer_coalescing_delay;
+				record_watch_answer(it, {.era = 0, .number = 11}, {.changed = 1, .known = 11}, now);
+				EXPECT_EQ(it.next_call_at, now + balancer_coalescing_delay);
+			}
+		}
+
 		// Guards against a configuration that comes into force half a minute late at a process whose watch the store
 		// dropped without an answer, while it answers others.
 		TEST_F(steering_store_follower, gives_up_call_when_others_know_newer_revision)
@@ -375,7 +411,7 @@
 			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, now)) << "the answer may be on its way";
 			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, now + call_timeout));
 			EXPECT_TRUE(is_answer_overdue(it, {.era = 0, .number = 12}, now + call_timeout + 1ms));
-			record_watch_answer(it, {.era = 0, .number = 12}, true, now + 2s);
+			record_watch_answer(it, {.era = 0, .number = 12}, one_change, now + 2s);
 			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 13}, now + 2s))
 				<< "the time of the former revision is over";
 		}
@@ -385,7 +421,7 @@
 		{
 			it.coalescing_delay = 1s;
 			record_listing_page(it, {.era = 0, .number = 10}, "", false, start);
-			record_watch_answer(it, {.era = 0, .number = 11}, true, start);
+			record_watch_answer(it, {.era = 0, .number = 11}, one_change, start);
 			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, start));
 			EXPECT_FALSE(is_answer_overdue(it, {.era = 0, .number = 12}, start + call_timeout + 1ms))
 				<< "the next call began after a second";
@@ -413,7 +449,7 @@
 			record_failure(it, 0, start);
 			EXPECT_TRUE(is_settling(it, start));
 			EXPECT_FALSE(is_current(it, start));
-			record_watch_answer(it, {.era = 0, .number = 11}, true, start + 5s);
+			record_watch_answer(it, {.era = 0, .number = 11}, one_change, start + 5s);
 			EXPECT_TRUE(is_settling(it, start + 7s));
 			EXPECT_FALSE(is_settling(it, start + 8s));
 			EXPECT_TRUE(is_current(it, start + 8s));
