Report load to balancers of other zones at most twice a second

Cause: with two slots nearly every request changes an upstream's load by half of them, so each agent reported to every balancer of all zones up to ten times a second: agents times balancers messages, five of six between zones.

Change: balancers of the agent's own zone get reports as before, those of other zones at most every 500 ms, and at once when the admission status changes. They place flows there only when their own zone is busy, and every answer to a flow carries the load. Agents that look for their upstream's entry read minor changes at their usual interval of 1 s. Calls to the store are counted by group, kind and outcome in the metrics.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -88,6 +88,13 @@
 		std::vector<agent_reply> replies;
 	};
 
+	/// Load report that was sent to a group of balancers.
+	struct sent_report
+	{
+		load_report report;
+		monotonic_time sent_at;
+	};
+
 	/// State of an agent.
 	struct agent_state
 	{
@@ -101,8 +108,8 @@
 		std::unordered_map<ipv4, known_balancer> balancers; ///< Keyed by instance.
 		double failure_ratio = 0;          ///< Moving average of the share of requests that the upstream reset.
 		monotonic_time failure_ratio_at{}; ///< Last update of `failure_ratio`.
-		load_report last_report;
-		monotonic_time last_report_at;
+		sent_report near_report;           ///< Last one to the balancers of the agent's zone.
+		sent_report far_report;            ///< Last one to those of other zones.
 	};
 
 	/// Capacity of an agent's flow table; packets of further flows are forwarded without an entry.
@@ -169,9 +176,14 @@
 	/// Returns the current load report.
 	[[nodiscard]] load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now);
 
-	/// Returns whether `report` has to be sent to all balancers. If so, records it as sent.
-	[[nodiscard]] bool load_report_due(agent_state& state, const load_report& report, std::uint32_t slots,
-									   monotonic_time now);
+	/// Returns the balancers that `report` has to be sent to now, and records it as sent.
+	///
+	/// Load pattern: with few slots nearly every request changes the load by much of them, and each report goes to
+	/// every balancer, so the traffic between zones grows with the product of agents and balancers. Balancers of other
+	/// zones place flows here only when their own zone is busy; a changed load is reported to them less often, a
+	/// changed admission status at once.
+	[[nodiscard]] std::vector<ipv4> load_report_recipients(agent_state& state, const load_report& report,
+														   std::uint32_t slots, monotonic_time now);
 
 	/// Removes idle flows and expired subscriptions.
 	void expire_idle(agent_state& state, const catalog& known, monotonic_time now);
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -503,19 +503,11 @@
 				}
 				node_.upstreams_reader.widen_watch();
 				const auto report = make_load_report(state_, node_.catalog, now);
-				if (load_report_due(state_, report, slots(), now))
-				{
-					send_report(report);
-				}
-				node_.loop.call_at(now + load_interval, [this] { report_load(); });
-			}
-
-			void send_report(const steering::load_report& report)
-			{
-				for (const auto& [balancer, heard] : state_.balancers)
+				for (const auto balancer : load_report_recipients(state_, report, slots(), now))
 				{
 					send(balancer, message_kind::load, {}, report, {});
 				}
+				node_.loop.call_at(now + load_interval, [this] { report_load(); });
 			}
 
 			void sweep()
@@ -539,7 +531,11 @@
 				}
 				state_.gate.stopping = true;
 				return_all_openings();
-				send_report(make_load_report(state_, node_.catalog, node_.loop.now()));
+				const auto report = make_load_report(state_, node_.catalog, node_.loop.now());
+				for (const auto& [balancer, heard] : state_.balancers)
+				{
+					send(balancer, message_kind::load, {}, report, {});
+				}
 				node_.log.write(log_level::info, "stopping",
 								"agent stopping; balancers notified to place no new flows on it");
 				node_.loop.call_at(node_.loop.now() + stop_notice_time, [this] { node_.loop.stop(); });
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -39,6 +39,17 @@
 			return text;
 		}
 
+		/// Returns the counters of calls to the metadata store in the Prometheus text format.
+		[[nodiscard]] std::string format_store_calls(std::string_view group, const store_call_counts& counts)
+		{
+			return fmt::format("nutmegturn_store_calls_total{{group=\"{0}\",call=\"listing\"}} {1}\n"
+							   "nutmegturn_store_calls_total{{group=\"{0}\",call=\"watch\"}} {2}\n"
+							   "nutmegturn_store_watches_answered_total{{group=\"{0}\",changes=\"yes\"}} {3}\n"
+							   "nutmegturn_store_watches_answered_total{{group=\"{0}\",changes=\"no\"}} {4}\n"
+							   "nutmegturn_store_calls_failed_total{{group=\"{0}\"}} {5}\n",
+							   group, counts.listings, counts.watches, counts.changed, counts.unchanged, counts.failed);
+		}
+
 		/// Returns the modification time of a file, or -1 when it cannot be read.
 		[[nodiscard]] std::int64_t modification_time(const std::string& path)
 		{
@@ -173,10 +184,11 @@
 		metrics.set(gauge::config_age_milliseconds, std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 		metrics.set(gauge::view_current, configuration_current() ? 1 : 0);
 		metrics_snapshot snapshot{std::array<const metrics_shard*, 1>{&metrics}};
-		return fmt::format("{}nutmegturn_store_calls_total {}\nnutmegturn_log_lines_dropped_total {}\n"
+		return fmt::format("{}{}{}nutmegturn_log_lines_dropped_total {}\n"
 						   "nutmegturn_unreadable_records_total {}\nnutmegturn_datagrams_refused_total {}\n"
 						   "nutmegturn_handler_failures_total {}\nnutmegturn_searches_total {}\n{}",
-						   snapshot.to_prometheus(), orders_reader.calls() + upstreams_reader.calls(), log.dropped(),
+						   snapshot.to_prometheus(), format_store_calls("orders", orders_reader.counts()),
+						   format_store_calls("upstreams", upstreams_reader.counts()), log.dropped(),
 						   catalog.unreadable_records, datagrams_refused, handler_exceptions, searches,
 						   format_message_counts(messages));
 	}
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -45,7 +45,7 @@
 
 	void store_reader::set_store(const endpoint& store)
 	{
-		const bool calling = calls_ > 0 && call_timer_ == 0;
+		const bool calling = counts_.listings > 0 && call_timer_ == 0;
 		connection_.set_server(store);
 		if (calling)
 		{
@@ -109,8 +109,8 @@
 	{
 		call_timer_ = 0;
 		call_started_ = loop_.now();
-		++calls_;
 		const bool watch = follower_.next == store_follower::step::watch;
+		++(watch ? counts_.watches : counts_.listings);
 		const auto wait = watch ? next_watch_wait(follower_) : steering::milliseconds{0};
 		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision.number, wait)
 								  : platform::listing_target(group_, follower_.last_key);
@@ -296,6 +296,7 @@
 		{
 			apply(record);
 		}
+		++(response.records.empty() ? counts_.unchanged : counts_.changed);
 		const steering::watch_changes changes{.changed = response.records.size(), .known = encoded_.size()};
 		record_watch_answer(follower_, response.revision, changes, loop_.now());
 	}
@@ -426,6 +427,7 @@
 		{
 			log_.write(log_level::warning, "store_lost", "call to the metadata store failed", {{"reason", reason}});
 		}
+		++counts_.failed;
 		connection_.close();
 		record_failure(follower_, random_(), loop_.now());
 		call_when_due();
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -12,6 +12,16 @@
 
 namespace nutmegturn::node
 {
+	/// Calls of one reader to the metadata store, by kind and by what they brought.
+	struct store_call_counts
+	{
+		std::uint64_t listings = 0;
+		std::uint64_t watches = 0;
+		std::uint64_t changed = 0;   ///< Watches that were answered with changes.
+		std::uint64_t unchanged = 0; ///< Watches that were answered without changes.
+		std::uint64_t failed = 0;    ///< Calls without a usable answer.
+	};
+
 	/// Keeps a catalog up to date from one group of keys of the metadata store.
 	class store_reader
 	{
@@ -28,6 +38,7 @@
 		void use_agent_intervals() noexcept
 		{
 			follower_.coalescing_delay = steering::agent_coalescing_delay;
+			follower_.minor_change_delay = steering::agent_coalescing_delay;
 			follower_.watch_wait = steering::agent_watch_wait;
 		}
 
@@ -73,10 +84,10 @@
 			return follower_;
 		}
 
-		/// Returns the number of calls to the store.
-		[[nodiscard]] std::uint64_t calls() const noexcept
+		/// Returns the numbers of calls to the store.
+		[[nodiscard]] const store_call_counts& counts() const noexcept
 		{
-			return calls_;
+			return counts_;
 		}
 
 	private:
@@ -120,7 +131,7 @@
 		std::uint64_t call_timer_ = 0;               ///< Timer of the next call; 0 while a call is in progress.
 		monotonic_time call_started_;                ///< Start of the latest call.
 		monotonic_time last_answered_call_;          ///< Start of the latest answered call.
-		std::uint64_t calls_ = 0;
+		store_call_counts counts_;
 		bool settled_listing_scheduled_ = false;
 	};
 }
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -13,9 +13,12 @@
 		/// Longest time between load reports to a balancer.
 		constexpr milliseconds max_report_interval{1'000};
 
-		/// Shortest time between two reports with the same admission status.
+		/// Shortest time between two reports with the same admission status to a balancer of the agent's zone.
 		constexpr milliseconds min_report_interval{100};
 
+		/// The same for balancers of other zones.
+		constexpr milliseconds min_far_report_interval{500};
+
 		/// Lifetime of a balancer's subscription to load reports.
 		constexpr std::chrono::seconds subscription_lifetime{4};
 
@@ -35,6 +38,25 @@
 		/// Half-life of the failure ratio while there are no requests.
 		constexpr std::chrono::duration<double> failure_half_life{2.0};
 
+		/// Records `report` as sent if it is due after the last one to the same balancers.
+		/// \param interval	Shortest time between two reports with the same admission status.
+		/// \returns			Whether it is due.
+		[[nodiscard]] bool take_report_if_due(sent_report& last, const load_report& report, std::uint32_t slots,
+											  milliseconds interval, monotonic_time now)
+		{
+			const auto passed = now - last.sent_at;
+			const int change = std::abs(int{report.requests_in_progress} - int{last.report.requests_in_progress});
+			const bool changed = change * 2 >= static_cast<int>(slots) ||
+								 report.cold_admissions_left != last.report.cold_admissions_left;
+			const bool due = report.admission != last.report.admission || passed >= max_report_interval ||
+							 (changed && passed >= interval);
+			if (due)
+			{
+				last = {.report = report, .sent_at = now};
+			}
+			return due;
+		}
+
 		[[nodiscard]] bool is_closed(const agent_flow& flow) noexcept
 		{
 			return flow.caller_closed && flow.upstream_closed;
@@ -493,20 +515,21 @@
 		return report;
 	}
 
-	bool load_report_due(agent_state& state, const load_report& report, std::uint32_t slots, monotonic_time now)
+	std::vector<ipv4> load_report_recipients(agent_state& state, const load_report& report, std::uint32_t slots,
+											 monotonic_time now)
 	{
-		const auto passed = now - state.last_report_at;
-		const int change = std::abs(int{report.requests_in_progress} - int{state.last_report.requests_in_progress});
-		const bool changed = change * 2 >= static_cast<int>(slots) ||
-							 report.cold_admissions_left != state.last_report.cold_admissions_left;
-		const bool due = report.admission != state.last_report.admission || passed >= max_report_interval ||
-						 (changed && passed >= min_report_interval);
-		if (due)
-		{
-			state.last_report = report;
-			state.last_report_at = now;
-		}
-		return due;
+		const bool near_due = take_report_if_due(state.near_report, report, slots, min_report_interval, now);
+		const bool far_due = take_report_if_due(state.far_report, report, slots, min_far_report_interval, now);
+		const auto own_zone = key_of_zone(state.gate.zone);
+		std::vector<ipv4> recipients;
+		for (const auto& [balancer, known] : state.balancers)
+		{
+			if (known.zone == own_zone ? near_due : far_due)
+			{
+				recipients.push_back(balancer);
+			}
+		}
+		return recipients;
 	}
 
 	void expire_idle(agent_state& state, const catalog& known, monotonic_time now)
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -2,6 +2,8 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace nutmegturn::steering::testing
 {
 	namespace
@@ -219,6 +221,35 @@
 			EXPECT_EQ(handle_subscription(state, subscription, ipv4{0x0a010902}, now).flows, std::vector{flow});
 		}
 
+		// Guards against traffic between zones that grows with the product of agents and balancers: each request of an
+		// upstream with two slots was reported to every balancer.
+		TEST_F(steering_agent_flow, reports_changed_load_to_other_zones_less_often)
+		{
+			constexpr std::uint32_t slots = 2;
+			constexpr ipv4 far_balancer{0x0a020901};
+			message subscription;
+			subscription.zone = key_of_zone(state.gate.zone);
+			static_cast<void>(handle_subscription(state, subscription, balancer, now));
+			subscription.zone = key_of_zone("other zone");
+			static_cast<void>(handle_subscription(state, subscription, far_balancer, now));
+			load_report report;
+			EXPECT_EQ(load_report_recipients(state, report, slots, now).size(), 2U) << "the first report";
+			std::size_t near_reports = 0;
+			std::size_t far_reports = 0;
+			for (int i = 0; i < 20; ++i)
+			{
+				now += 100ms;
+				report.requests_in_progress = static_cast<std::uint16_t>(i % 2 + 1);
+				const auto recipients = load_report_recipients(state, report, slots, now);
+				near_reports += static_cast<std::size_t>(std::ranges::count(recipients, balancer));
+				far_reports += static_cast<std::size_t>(std::ranges::count(recipients, far_balancer));
+			}
+			EXPECT_EQ(near_reports, 20U);
+			EXPECT_EQ(far_reports, 4U);
+			report.admission = admission_status::draining;
+			EXPECT_EQ(load_report_recipients(state, report, slots, now + 1ms).size(), 2U) << "a changed admission";
+		}
+
 		// Guards against probes at upstreams that cannot hold the flow, and against a restarted agent that denies flows
 		// which it has not seen.
 		TEST_F(steering_agent_flow, answers_query_with_held_not_held_or_unknown)
