--- a/fuzz/platform_store.cpp
+++ b/fuzz/platform_store.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cstdlib>
 #include <set>
+#include <vector>
 
 namespace
 {
@@ -25,6 +26,30 @@
 		R"("services":[{"name":"desk","cold_start_s":2,"cold_per_s":10}],"limits":{"idle_timeout_ms":9000}})",
 		R"({"zone":"a"})"};
 
+	/// Values of other writers that name nothing to use. They are the first inputs, beside one good entry.
+	[[nodiscard]] std::vector<std::string> odd_values()
+	{
+		constexpr std::size_t depth = 100'000;
+		constexpr std::size_t largest_value = 1U << 20U;
+		const auto nested = std::string(depth, '[') + std::string(depth, ']');
+		const auto with_field = [](std::string_view name, std::string_view text)
+		{
+			return fmt::format(R"({{"service":"desk","zone":"a","state":"ready","address":"10.1.0.9:8080",)"
+							   R"("max_concurrency":5,"cold_remaining_ms":0,"{}":{}}})",
+							   name, text);
+		};
+		return {nested,
+				with_field("extra", nested),
+				with_field("sequence", "18446744073709551616"),
+				with_field("born", "1e400"),
+				with_field("cold_remaining_ms", "-1"),
+				with_field("address", R"("10.1.0.9:65536")"),
+				with_field("address", R"("10.1.0.9:0")"),
+				"\xff\xfe{",
+				"",
+				std::string(largest_value, '[')};
+	}
+
 	/// Overwrites, removes or duplicates up to three byte ranges.
 	void corrupt(std::string& text, random_source& random)
 	{
@@ -55,6 +80,33 @@
 		return encoded;
 	}
 
+	/// Applies a listing of each odd value, first and last on its page, beside one good entry.
+	/// \returns	Whether the good entry is known after each.
+	[[nodiscard]] bool accepts_entries_beside_odd_ones(steering::catalog& known, monotonic_time now)
+	{
+		std::uint64_t revision = 1;
+		for (const auto& value : odd_values())
+		{
+			const auto item = [&revision](std::string_view key, const std::string& text)
+			{ return fmt::format(R"({{"key":"{}","revision":{},"value":"{}"}})", key, ++revision, base64(text)); };
+			const auto key = fmt::format("servers/good-{}", revision);
+			const auto first = item("servers/a-odd", value);
+			const auto good = item(key, std::string{values[0]});
+			const auto last = item("servers/z-odd", value);
+			const auto body = fmt::format(R"({{"items":[{},{},{}],"as_of":{}}})", first, good, last, revision);
+			for (const auto& it : platform::decode_response(200, "0", body).records)
+			{
+				apply_record(known, steering::record_group::upstreams, it, now);
+			}
+			if (!known.upstreams.contains(key))
+			{
+				fmt::print("an odd value of {} bytes hides the entry beside it\n", value.size());
+				return false;
+			}
+		}
+		return true;
+	}
+
 	/// Returns a list or watch response with one record. The value of the record is corrupted before it is encoded; the
 	/// response body is corrupted in half of the cases.
 	/// \param revision	Revision of the record.
@@ -82,6 +134,11 @@
 	steering::catalog known;
 	monotonic_time now{std::chrono::seconds{1}};
 	int accepted = 0;
+	if (!accepts_entries_beside_odd_ones(known, now))
+	{
+		return EXIT_FAILURE;
+	}
+	known = {};
 	for (int i = 0; i < inputs; ++i)
 	{
 		now += std::chrono::milliseconds{1};
