Show where the routes of a running process lead: nutmegturnctl routes

Cause: operators of a site with many routes cannot confirm by reading the configuration where a route leads; `explain` reads only records of our own interface.

Change: `nutmegturnctl routes PROCESS [ADDRESS]` reads the orders and, from a balancer, the upstream entries of a running nutmegturn-node, and prints for each route the services with their shares of new flows and the upstreams that take new flows, by availability zone. No change to the node itself.

Result: a test with 2,001 routes, of a balancer and of an agent, passes. Not built: a warning of `check` about routes that no packet can reach.

--- a/apps/nutmegturnctl/command.hpp
+++ b/apps/nutmegturnctl/command.hpp
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,7 +24,7 @@
 	/// @{
 	inline constexpr int exit_refused = 3;     ///< Refused files or records, conflicts included, or unresolved names.
 	inline constexpr int exit_ends_flows = 4;  ///< The planned change ends flows.
-	inline constexpr int exit_no_upstream = 5; ///< No upstream serves the flow.
+	inline constexpr int exit_no_upstream = 5; ///< No upstream or no route serves the flow.
 	inline constexpr int exit_no_answer = 6;   ///< The daemon did not answer.
 	/// @}
 
@@ -54,6 +55,12 @@
 	[[nodiscard]] int run_plan(const std::string& current_path, const std::string& planned_path, bool is_partial,
 							   std::uint32_t samples, bool is_json);
 	[[nodiscard]] int run_explain(const std::string& records_path, const flow_key& key, bool is_json);
+
+	/// Prints where the routes of a running `nutmegturn-node` lead: services, their shares of new flows, and upstreams
+	/// that take new flows, by availability zone.
+	/// \param process	Address of its readiness check or metrics.
+	/// \param address	Prints only the route of this address.
+	[[nodiscard]] int run_routes(const endpoint& process, const std::optional<endpoint>& address, bool is_json);
 	[[nodiscard]] int run_query(const std::string& command, const endpoint& daemon, bool is_json);
 	[[nodiscard]] int run_top(const runtime::parsed_command_line& line);
 	[[nodiscard]] int run_report(const runtime::parsed_command_line& line);
--- a/apps/nutmegturnctl/main.cpp
+++ b/apps/nutmegturnctl/main.cpp
@@ -51,6 +51,16 @@
 			}
 			return run_explain(operands[1], {*client, *service}, is_json);
 		}
+		if (command == "routes" && (operands.size() == 2 || operands.size() == 3))
+		{
+			const auto process = parse_endpoint(operands[1]);
+			const auto address = operands.size() == 3 ? parse_endpoint(operands[2]) : std::nullopt;
+			if (!process || (operands.size() == 3 && !address))
+			{
+				return report_usage_error("routes expects PROCESS and ADDRESS as IP:port");
+			}
+			return run_routes(*process, address, is_json);
+		}
 		if ((command == "status" || command == "audit") && operands.size() == 2)
 		{
 			const auto daemon = parse_endpoint(operands[1]);
@@ -80,7 +90,8 @@
 		 {"daemon", "URL", "top, report: HTTP endpoint of a daemon, http://IP:port; may be given several times"},
 		 {"once", "", "top: print one table and exit"},
 		 {"interval", "MS", "top: time between two tables (default 1000)"}},
-		"check PATH... | plan NOW THEN | explain RECORDS CLIENT SERVICE | status DAEMON | audit DAEMON |\n"
+		"check PATH... | plan NOW THEN | explain RECORDS CLIENT SERVICE | routes PROCESS [ADDRESS] |\n"
+		"status DAEMON | audit DAEMON |\n"
 		"top --daemon URL... | report --daemon URL...\n"
 		"Exit status: 0 success, 1 failure, 2 usage, 3 refused or unresolved, 4 flows end, 5 no upstream, 6 no answer");
 	if (const auto* status = std::get_if<int>(&parsed))
--- a/tests/nutmegturnctl_test.cpp
+++ b/tests/nutmegturnctl_test.cpp
@@ -1,3 +1,4 @@
+#include "base64_text.hpp"
 #include "runtime/http.hpp"
 
 #include <QCoreApplication>
@@ -9,6 +10,7 @@
 #include <QProcess>
 #include <QTemporaryDir>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include <memory>
@@ -144,6 +146,53 @@
 		EXPECT_EQ(run({"status", daemon}).status, 6);
 	}
 
+	// Guards against an operator who cannot find where the route of a caller leads among 2,000 routes of a running
+	// process.
+	TEST_F(nutmegturnctl, shows_where_routes_of_a_running_process_lead)
+	{
+		std::string routes;
+		for (int i = 0; i < 2'000; ++i)
+		{
+			routes += fmt::format(R"({}{{"host":"198.18.{}.{}","prefix":"/443/","service":"desk"}})", i == 0 ? "" : ",",
+								  i / 250, i % 250 + 1);
+		}
+		routes += R"(,{"host":"198.19.0.1","prefix":"/8443/","traffic_split":[{"service":"desk","weight":3},)"
+				  R"({"service":"maps","weight":1}]})";
+		const auto config = base64(fmt::format(R"({{"version":7,"routes":[{}]}})", routes));
+		const auto entry = [](const char* zone, const char* state, int host)
+		{
+			return base64(fmt::format(R"({{"service":"desk","address":"10.1.0.{}:8080","zone":"{}","state":"{}",)"
+									  R"("max_concurrency":2,"cold_remaining_ms":0}})",
+									  host, zone, state));
+		};
+		const auto item = [](const char* key, int revision, const std::string& value)
+		{ return fmt::format(R"({{"key":"{}","revision":{},"value":"{}"}})", key, revision, value); };
+		const auto orders = fmt::format(R"({{"items":[{}],"as_of":9}})", item("op/config", 9, config));
+		const auto upstreams =
+			fmt::format(R"({{"items":[{},{},{}],"as_of":9}})", item("servers/1", 1, entry("a", "ready", 1)),
+						item("servers/2", 2, entry("a", "draining", 2)), item("servers/3", 3, entry("b", "ready", 3)));
+		QHttpServer balancer;
+		balancer.route("/orders", [&orders] { return QString::fromStdString(orders); });
+		QHttpServer agent;
+		agent.route("/orders", [&orders] { return QString::fromStdString(orders); });
+		balancer.route("/upstreams", [&upstreams] { return QString::fromStdString(upstreams); });
+		const auto at = [](QHttpServer& server)
+		{ return QStringLiteral("127.0.0.1:%1").arg(server.listen(QHostAddress::LocalHost)); };
+		const auto process = at(balancer);
+
+		const auto one = run({"routes", process, "198.19.0.1:8443"});
+		EXPECT_EQ(one.status, 0) << one.text.toStdString();
+		EXPECT_EQ(one.text, "configuration version 7\n"
+							"198.19.0.1:8443         75.0 % desk a:1 b:1\n"
+							"198.19.0.1:8443         25.0 % maps no upstreams\n");
+		EXPECT_EQ(run({"routes", process}).text.count('\n'), 2'003);
+		EXPECT_EQ(run({"routes", process, "--json"}).json["routes"].toArray().size(), 2'001);
+		EXPECT_EQ(run({"routes", process, "198.19.0.2:8443"}).status, 5);
+		EXPECT_EQ(run({"routes", process, "198.19.0.2"}).status, 2);
+		const auto by_agent = run({"routes", at(agent), "198.18.0.1:443"});
+		EXPECT_EQ(by_agent.text, "configuration version 7\n198.18.0.1:443         100.0 % desk\n");
+	}
+
 	// Guards against a fleet table that omits a daemon that does not answer, shows an unreported count as 0 or hides
 	// that daemons disagree about a zone, and against a report page that does not escape markup in names.
 	TEST_F(nutmegturnctl, shows_processes_zones_and_upstreams_of_all_daemons)
