--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -4,6 +4,8 @@
 {
 	const std::map<std::string, void (*)(review::world&)> cases{
 		{"lost-answer", review::lost_answer},
+		{"odd-entry", review::odd_entry},
+		{"clock-jump", review::clock_jump},
 	};
 	if (argc != 3 || !cases.contains(argv[1]))
 	{
--- a/review/standin/cases.hpp
+++ b/review/standin/cases.hpp
@@ -5,4 +5,6 @@
 namespace review
 {
 	void lost_answer(world& w);
+	void odd_entry(world& w);
+	void clock_jump(world& w);
 }
--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -34,12 +34,20 @@
 		/// \param cold	Whether it starts during traffic and is cold for 2 s.
 		machine& add_target(const std::string& name, unsigned number, bool cold, const std::string& zone = "stred-a",
 							const std::string& service = service_name)
+		{
+			auto& it = add_machine(name, number, !cold, zone, service);
+			start_target(it, cold);
+			return it;
+		}
+
+		/// Adds a machine for a target and starts its agent.
+		machine& add_machine(const std::string& name, unsigned number, bool bootstrap = false,
+							 const std::string& zone = "stred-a", const std::string& service = service_name)
 		{
 			auto& it = w.add(name, "agent", zone, number, service);
-			it.bootstrap = !cold;
+			it.bootstrap = bootstrap;
 			it.entry_id = "servers/i-" + std::to_string(7'000 + number);
 			w.start(it);
-			start_target(it, cold);
 			return it;
 		}
 
