--- a/review/standin/cases.cpp
+++ b/review/standin/cases.cpp
@@ -6,6 +6,7 @@
 		{"lost-answer", review::lost_answer},
 		{"odd-entry", review::odd_entry},
 		{"clock-jump", review::clock_jump},
+		{"late-opening", review::late_opening},
 	};
 	if (argc != 3 || !cases.contains(argv[1]))
 	{
--- a/review/standin/cases.hpp
+++ b/review/standin/cases.hpp
@@ -7,4 +7,5 @@
 	void lost_answer(world& w);
 	void odd_entry(world& w);
 	void clock_jump(world& w);
+	void late_opening(world& w);
 }
--- a/review/standin/ends.hpp
+++ b/review/standin/ends.hpp
@@ -103,6 +103,19 @@
 			++run_;
 		}
 
+		/// Stands still with its machine: reads and sends nothing.
+		void freeze()
+		{
+			loop_.unwatch(fd_);
+			frozen_ = true;
+		}
+
+		void wake()
+		{
+			frozen_ = false;
+			loop_.watch(fd_, [this] { read(); });
+		}
+
 		[[nodiscard]] bool running() const
 		{
 			return fd_ >= 0;
@@ -144,7 +157,7 @@
 		void send(packet p)
 		{
 			p.sum = sum_of(p);
-			if (fd_ >= 0)
+			if (fd_ >= 0 && !frozen_)
 			{
 				send_datagram(fd_, outbound_, encode(p));
 			}
@@ -327,6 +340,7 @@
 		std::mt19937 random_;
 		int fd_ = -1;
 		int run_ = 0;
+		bool frozen_ = false;
 		std::map<flow_key, flow> flows_;
 	};
 
--- a/review/standin/store.hpp
+++ b/review/standin/store.hpp
@@ -38,6 +38,28 @@
 		/// Called for each answer.
 		std::function<void(const answer&, bool lost)> on_answer;
 
+		/// Largest number of items on a page of a listing.
+		std::size_t page_size = 500;
+
+		/// Cuts all watches that wait.
+		void cut_watches()
+		{
+			for (const auto& open : std::vector<std::shared_ptr<channel>>(channels_.begin(), channels_.end()))
+			{
+				if (open->watching)
+				{
+					close(open);
+				}
+			}
+		}
+
+		/// Discards the history; watches from before get 410.
+		void discard_history()
+		{
+			history_.clear();
+			oldest_ = revision_;
+		}
+
 		void listen(const address& local, const std::string& reader)
 		{
 			const int fd = bound_socket(SOCK_STREAM, local);
@@ -217,6 +239,11 @@
 			if (target.starts_with("/kv-watch"))
 			{
 				open->after = number(query(target, "after"));
+				if (open->after < oldest_)
+				{
+					reply(open, "{}", 410);
+					return;
+				}
 				open->watching = true;
 				const auto call = ++open->number;
 				loop_.after(milliseconds{static_cast<int>(number(query(target, "wait_ms")))},
@@ -269,7 +296,7 @@
 				open->silent = true;
 				return;
 			}
-			const auto bytes = "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Not Found") +
+			const auto bytes = "HTTP/1.1 " + std::to_string(status) + (status == 200 ? " OK" : " Other") +
 							   "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) +
 							   "\r\n\r\n" + body;
 			[[maybe_unused]] const auto n = ::send(open->fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
@@ -279,6 +306,7 @@
 		std::map<std::string, item> items_;
 		std::vector<item> history_;
 		std::uint64_t revision_ = 0;
+		std::uint64_t oldest_ = 0;
 		std::set<std::shared_ptr<channel>> channels_;
 	};
 }
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -56,6 +56,7 @@
 		std::unique_ptr<target> app;
 		std::string entry_id;
 		bool stopping = false;
+		bool removed = false;
 	};
 
 	class world
@@ -191,6 +192,15 @@
 						 });
 		}
 
+		/// Stops the process of a machine that is taken away.
+		void remove(machine& it)
+		{
+			note("%s: SIGTERM (the machine is taken away)", it.name.c_str());
+			it.stopping = true;
+			it.removed = true;
+			it.daemon.signal(SIGTERM);
+		}
+
 		/// Creates and starts a machine's target.
 		target& start_target(machine& it, target::events handlers)
 		{
@@ -264,7 +274,9 @@
 			std::vector<machine*> ready;
 			for (const auto& it : machines_)
 			{
-				if (it->role == "balancer")
+				const auto zone = requester_zones.find(key.requester.ip);
+				const bool in_zone = zone == requester_zones.end() || zone->second == it->zone;
+				if (it->role == "balancer" && in_zone)
 				{
 					all.push_back(it.get());
 					if (it->in_rotation)
@@ -302,6 +314,9 @@
 
 		std::string problem;
 
+		/// Zones of requesters by address; the fabric uses the balancers of a requester's zone.
+		std::map<std::uint32_t, std::string> requester_zones;
+
 		[[nodiscard]] bool all_running() const
 		{
 			return std::ranges::all_of(machines_, [](const auto& it) { return it->daemon.running(); });
@@ -460,6 +475,10 @@
 					++ended_by_itself;
 				}
 				it->bootstrap = false;
+				if (it->removed)
+				{
+					continue;
+				}
 				events.after(restart_delay, [this, again = it.get()] { start(*again); });
 			}
 		}
