--- a/review/standin/deployment.hpp
+++ b/review/standin/deployment.hpp
@@ -107,6 +107,7 @@
 		{
 			const auto id = "q-" + std::to_string(++asked_);
 			asked_ids_.insert(id);
+			w.note("request %s: sent on flow %s", id.c_str(), to_text(key).c_str());
 			from.request(key, id, "POST", milliseconds{2'000});
 		}
 
