Reset an unclaimed flow only after the store confirms the list of upstreams

Cause: store_reader::is_up_to_date_since() took a watch that had been pending for 20 ms for "no change". On a connection whose answer was lost a watch stays pending for up to 11.2 s, and the list then lacks an upstream. All upstreams that the balancer knew denied the flow, so it was reset. A listing also counted as complete after its first page.

Change: only answers count. The store has to answer a call that started at or after the last denial. store_reader::confirm() ends a pause between calls, or replaces a pending watch by one with a wait of 1 ms on a new connection; confirmations start at least 100 ms apart and serve all flows denied until then. The condition is an answer of the store to a call after the denial, whoever reads it, so it also holds if processes read on behalf of others.

Conclusion: a flow that nobody holds is still reset, about one answer of the store later; while the store gives no answer nothing is reset.

--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -148,13 +148,16 @@
 	/// Returns the flows that all required instances have denied.
 	[[nodiscard]] std::vector<flow_id> denied_flows(const holder_search& search);
 
+	/// Returns when the last of the denied flows was denied, or zero if there is none.
+	[[nodiscard]] monotonic_time latest_denial(const holder_search& search);
+
 	/// Decides about a denied flow: queries required instances that were not queried yet, or resets the flow. Since a
 	/// search queries each instance in one round only, it ends.
 	///
 	/// Load pattern: after a power loss upstreams register one after the other while all callers continue flows that no
 	/// upstream holds, so every search meets upstreams that were added after its first round.
 	/// \param required	Instances that must deny the flow according to the current catalog.
-	/// \param current	Whether the catalog has been up to date at or after the last denial.
+	/// \param current	Whether the catalog is known to be complete as of the last denial or later.
 	[[nodiscard]] search_step confirm_denied(holder_search& search, const flow_id& id,
 											 const std::vector<ipv4>& required, monotonic_time now, bool current);
 
--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -22,6 +22,9 @@
 	inline constexpr std::chrono::milliseconds agent_watch_wait{30'000};
 	/// @}
 
+	/// Shortest time for which the store may hold a watch.
+	inline constexpr std::chrono::milliseconds min_watch_wait{1};
+
 	/// Timeout of a call, in addition to the time for which the store may hold it.
 	inline constexpr std::chrono::milliseconds call_timeout{1'200};
 
--- a/src/node/event_loop.cpp
+++ b/src/node/event_loop.cpp
@@ -67,6 +67,7 @@
 				callback();
 			}
 		}
+		stopped_ = false;
 	}
 
 	void event_loop::run_descriptor_callback(int fd)
--- a/src/node/event_loop.hpp
+++ b/src/node/event_loop.hpp
@@ -40,7 +40,7 @@
 		/// a message, and a timer that does not schedule its successor would stop an activity for good.
 		void set_exception_handler(std::function<void(const std::exception&)> handler);
 
-		/// Runs until `stop` is called.
+		/// Runs until `stop` is called. May be called again after that.
 		void run();
 
 		/// Makes `run` return after the current iteration.
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -44,10 +44,12 @@
 		{
 			return fmt::format("nutmegturn_store_calls_total{{group=\"{0}\",call=\"listing\"}} {1}\n"
 							   "nutmegturn_store_calls_total{{group=\"{0}\",call=\"watch\"}} {2}\n"
+							   "nutmegturn_store_confirmations_total{{group=\"{0}\"}} {6}\n"
 							   "nutmegturn_store_watches_answered_total{{group=\"{0}\",changes=\"yes\"}} {3}\n"
 							   "nutmegturn_store_watches_answered_total{{group=\"{0}\",changes=\"no\"}} {4}\n"
 							   "nutmegturn_store_calls_failed_total{{group=\"{0}\"}} {5}\n",
-							   group, counts.listings, counts.watches, counts.changed, counts.unchanged, counts.failed);
+							   group, counts.listings, counts.watches, counts.changed, counts.unchanged, counts.failed,
+							   counts.confirmations);
 		}
 
 		/// Returns the modification time of a file, or -1 when it cannot be read.
--- a/src/node/search_runner.cpp
+++ b/src/node/search_runner.cpp
@@ -59,20 +59,13 @@
 		handle_denied_flows();
 	}
 
-	/// Gives up flows that no upstream holds: immediately if the catalog is up to date, otherwise after reading
-	/// the changes that are pending in the store during a pause between calls.
+	/// Gives up flows that no upstream holds once the store has confirmed that the catalog lacks no upstream.
 	void search_runner::handle_denied_flows()
 	{
-		if (denial_check_timer_ != 0 || denied_flows(search_).empty())
+		if (denial_check_timer_ == 0 && !denied_flows(search_).empty())
 		{
-			return;
-		}
-		if (node_.upstreams_reader.is_up_to_date_since(node_.loop.now()))
-		{
-			check_denied_flows();
-			return;
+			schedule_denial_check();
 		}
-		schedule_denial_check();
 	}
 
 	void search_runner::on_store_answer()
@@ -85,7 +78,7 @@
 
 	void search_runner::schedule_denial_check()
 	{
-		node_.upstreams_reader.refresh();
+		node_.upstreams_reader.confirm(latest_denial(search_));
 		denial_check_timer_ =
 			node_.loop.call_at(node_.loop.now() + denial_check_interval, [this] { check_denied_flows(); });
 	}
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -8,9 +8,8 @@
 
 	namespace
 	{
-		/// A watch that has been pending for this long has no changes to report: several times the usual response time
-		/// of the store.
-		constexpr std::chrono::milliseconds watch_quiet{20};
+		/// Shortest time between the starts of two confirmations. Limits the calls while flows are denied continuously.
+		constexpr std::chrono::milliseconds confirmation_interval{100};
 
 		[[nodiscard]] platform::store_response decode(const http_result& result)
 		{
@@ -89,20 +88,35 @@
 		}
 	}
 
-	void store_reader::refresh()
+	void store_reader::confirm(monotonic_time time)
 	{
-		if (call_timer_ != 0 && !follower_.unreachable)
+		confirmation_wanted_ = std::max(confirmation_wanted_, time);
+		if (follower_.unreachable || !confirmation_due())
+		{
+			return;
+		}
+		if (call_timer_ != 0)
 		{
 			loop_.cancel(call_timer_);
 			call();
+			return;
+		}
+		if (follower_.next == store_follower::step::watch && !confirming_)
+		{
+			connection_.close();
+			call();
 		}
 	}
 
+	bool store_reader::confirmation_due() const
+	{
+		return !is_up_to_date_since(confirmation_wanted_) &&
+			   loop_.now() - confirmation_started_ >= confirmation_interval;
+	}
+
 	bool store_reader::is_up_to_date_since(monotonic_time time) const noexcept
 	{
-		const bool watching = call_timer_ == 0 && follower_.next == store_follower::step::watch;
-		const bool unchanged = watching && loop_.now() - call_started_ >= watch_quiet;
-		return unchanged || last_answered_call_ >= time;
+		return up_to_date_since_ >= time;
 	}
 
 	void store_reader::call()
@@ -111,7 +125,15 @@
 		call_started_ = loop_.now();
 		const bool watch = follower_.next == store_follower::step::watch;
 		++(watch ? counts_.watches : counts_.listings);
-		const auto wait = watch ? next_watch_wait(follower_) : steering::milliseconds{0};
+		confirming_ = watch && confirmation_due();
+		if (confirming_)
+		{
+			confirmation_started_ = call_started_;
+			++counts_.confirmations;
+		}
+		const auto wait = confirming_ ? steering::min_watch_wait
+						  : watch     ? next_watch_wait(follower_)
+									  : steering::milliseconds{0};
 		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision.number, wait)
 								  : platform::listing_target(group_, follower_.last_key);
 		const auto timeout = steering::call_timeout + wait;
@@ -255,7 +277,10 @@
 				return;
 			}
 		}
-		last_answered_call_ = call_started_;
+		if (first_page)
+		{
+			listing_started_ = call_started_;
+		}
 		follower_.next == store_follower::step::list ? apply_listing(response) : apply_watch(response);
 		schedule_settled_listing();
 	}
@@ -273,6 +298,8 @@
 		{
 			finish_listing(follower_.listed_keys, follower_.revision);
 			follower_.listed_keys.clear();
+			// Changes since the first page are read by the next watch.
+			up_to_date_since_ = listing_started_;
 		}
 	}
 
@@ -299,6 +326,10 @@
 		++(response.records.empty() ? counts_.unchanged : counts_.changed);
 		const steering::watch_changes changes{.changed = response.records.size(), .known = encoded_.size()};
 		record_watch_answer(follower_, response.revision, changes, loop_.now());
+		if (only_key_.empty())
+		{
+			up_to_date_since_ = call_started_;
+		}
 	}
 
 	void store_reader::apply(const steering::store_record& record)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -20,6 +20,8 @@
 		std::uint64_t changed = 0;   ///< Watches that were answered with changes.
 		std::uint64_t unchanged = 0; ///< Watches that were answered without changes.
 		std::uint64_t failed = 0;    ///< Calls without a usable answer.
+		std::uint64_t confirmations =
+			0; ///< Those of `watches` with a short wait, to confirm that no change was missed.
 	};
 
 	/// Keeps a catalog up to date from one group of keys of the metadata store.
@@ -71,11 +73,14 @@
 		/// with a higher version is applied.
 		void apply_relayed(const http_result& result);
 
-		/// Ends a pause between calls, so that pending changes are read immediately.
-		void refresh();
+		/// Makes the store answer a call that starts at `time` or later, so that `is_up_to_date_since(time)` soon
+		/// holds. Ends a pause between calls, or repeats a pending watch with a short wait on a new connection.
+		/// Consecutive confirmations start at least `confirmation_interval` apart. Does nothing while the store is
+		/// unreachable. \param time	Not in the future.
+		void confirm(monotonic_time time);
 
-		/// Returns whether every change that the store had at `time` is known: a call that started later was answered,
-		/// or a watch has been pending for at least `watch_quiet`.
+		/// Returns whether every change that the store had at `time` is known: the store has answered a call that
+		/// started at that time or later. A pending call is no answer, since its connection may have been lost.
 		[[nodiscard]] bool is_up_to_date_since(monotonic_time time) const noexcept;
 
 		/// Returns the state of listing and watching the group.
@@ -93,6 +98,9 @@
 	private:
 		void call_when_due();
 		void call();
+
+		/// Returns whether the next watch has to be a short one, for `confirm`.
+		[[nodiscard]] bool confirmation_due() const;
 		void handle_result(const http_result& result);
 		void apply_result(const http_result& result);
 		void apply_answer(const platform::store_response& response);
@@ -130,7 +138,11 @@
 		std::map<std::string, std::string> encoded_; ///< Records of the group as encoded by the store.
 		std::uint64_t call_timer_ = 0;               ///< Timer of the next call; 0 while a call is in progress.
 		monotonic_time call_started_;                ///< Start of the latest call.
-		monotonic_time last_answered_call_;          ///< Start of the latest answered call.
+		monotonic_time listing_started_;             ///< Start of the call for the first page of the latest listing.
+		monotonic_time up_to_date_since_;            ///< Every change that the store had then is known.
+		monotonic_time confirmation_wanted_;         ///< Latest time for which `confirm` was called.
+		monotonic_time confirmation_started_;        ///< Start of the latest watch with a short wait.
+		bool confirming_ = false;                    ///< The call in progress is a watch with a short wait.
 		store_call_counts counts_;
 		bool settled_listing_scheduled_ = false;
 	};
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -259,6 +259,16 @@
 		return flows;
 	}
 
+	monotonic_time latest_denial(const holder_search& search)
+	{
+		monotonic_time latest{};
+		for (const auto& [id, pending] : search.pending)
+		{
+			latest = std::max(latest, pending.denied_at.value_or(monotonic_time{}));
+		}
+		return latest;
+	}
+
 	search_step confirm_denied(holder_search& search, const flow_id& id, const std::vector<ipv4>& required,
 							   monotonic_time now, bool current)
 	{
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -10,9 +10,6 @@
 		constexpr std::chrono::milliseconds max_retry_delay{1'000};
 		constexpr std::uint32_t max_retry_doublings = 3;
 
-		/// Shortest time for which the store may hold a watch.
-		constexpr std::chrono::milliseconds min_watch_wait{1};
-
 		/// Returns whether minor changes follow one another.
 		[[nodiscard]] bool is_minor(const store_follower& follower, watch_changes changes, monotonic_time now) noexcept
 		{
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -1,10 +1,8 @@
-#include "base64_text.hpp"
-#include "node/status_server.hpp"
+#include "loopback_store.hpp"
 #include "node/store_reader.hpp"
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
-#include <unistd.h>
 
 #include <deque>
 #include <string>
@@ -16,21 +14,8 @@
 	{
 		using namespace std::chrono_literals;
 
-		/// Returns an encoded entry of the store.
-		[[nodiscard]] std::string item(std::string_view key, int revision)
-		{
-			return fmt::format(R"({{"key":"{}","value":"e30=","revision":{},"created":1,"lease":0}})", key, revision);
-		}
-
-		/// Returns an address on loopback for this process. Tests run in parallel, each in its own process.
-		[[nodiscard]] endpoint own_address()
-		{
-			constexpr unsigned byte_bits = 8;
-			constexpr unsigned byte = 0xff;
-			const auto id = static_cast<unsigned>(::getpid());
-			return *parse_endpoint(fmt::format("127.{}.{}.{}:17431", 1 + (id >> 2 * byte_bits) % 100,
-											   (id >> byte_bits) & byte, 1 + (id & byte) % 254));
-		}
+		using testing::item;
+		using testing::own_address;
 
 		/// Reader of the upstream entries, against a store on loopback whose answers are scripted.
 		class store_reader_on_loopback : public ::testing::Test
@@ -46,7 +31,7 @@
 									calls.emplace_back(target);
 									return next_answer();
 								}};
-			endpoint address = own_address();
+			endpoint address = own_address(17'431);
 
 			status_response next_answer()
 			{
@@ -250,6 +235,20 @@
 			EXPECT_FALSE(known.evacuations.contains("a"));
 		}
 
+		// Guards against a listing that is taken for complete while one of its pages is missing. A flow at an upstream
+		// of that page was reset.
+		TEST_F(store_reader_on_loopback, is_up_to_date_only_after_the_last_page)
+		{
+			answers = {{.status = 200,
+						.body = fmt::format(R"({{"items":[{}],"has_more":true,"as_of":9}})", item("servers/a", 8))},
+					   {.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			const auto before = loop.now();
+			read(reader);
+			EXPECT_TRUE(known.revisions.contains("servers/a"));
+			EXPECT_FALSE(reader.is_up_to_date_since(before));
+		}
+
 		// Guards against an agent that learns of its upstream's restart and still waits up to 30 s for a change of the
 		// former entry.
 		TEST_F(store_reader_on_loopback, ends_pending_watch_of_one_key_when_the_scope_widens)
