Deny flows from before an agent's start only on evidence of its own

Cause: update_flow_knowledge() compared the upstream's start time, written by one clock at one moment, with the wall clock at the agent's start. An upstream that seemed to have started up to 1 s before the agent counted as started together with it, so that the agent claimed to know all its flows. The same claim was wrong without a jump for an agent restarted within 1 s of its upstream's start.

Change: start times no longer decide. An agent knows all flows on the first start of the deployment, after its upstream's port refused a packet, or when it has seen all packets of its upstream for longer than the idle timeout, measured by its own monotonic clock and begun anew after a pause of the process. Until then it answers "unknown", the packet is probed, and the upstream itself bounces a flow that it does not hold. The choice of the watched key relies on the store's revisions in place of start times: an upstream that registered after the agent's first listing is running. Entries of idle flows stay for 2 s more, since a last packet may have been lost and sent again.

The test knows_all_flows_if_upstream_is_not_older asserted the comparison itself. It is replaced by steering_agent_flow_knowledge.*, which require that the start time decides nothing, that a bounced probe denies at once, and that a silent upstream's flows are denied after the idle timeout.

Conclusion: after a restart of an agent alone nothing is denied on its word. Flows that nobody holds cost a probe for each upstream in that time.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -100,6 +100,8 @@
 	{
 		upstream_gate gate;
 		bool knows_all_flows = false;   ///< This process has seen every flow that the upstream can hold.
+		monotonic_time watched_since{}; ///< Since then this process has seen every packet of its upstream's flows.
+		monotonic_time last_sweep{};    ///< Last call of `expire_idle`, or zero.
 		bool upstream_is_older = false; ///< The upstream sent a packet of a flow from before this process started.
 		std::unordered_map<flow_id, agent_flow, flow_id_hash> flows;
 		std::size_t requests_in_progress = 0;       ///< Flows with a request in progress.
@@ -126,10 +128,6 @@
 	/// Answers a balancer's query for the holders of flows.
 	[[nodiscard]] std::vector<flow_answer> answer_query(const agent_state& state, std::span<const flow_id> flows);
 
-	/// Sets `knows_all_flows` if the upstream did not start before the agent, so that the agent has seen all its flows.
-	/// \param started_at_ms	Unix time at which this process started.
-	void update_flow_knowledge(agent_state& state, const catalog& known, std::int64_t started_at_ms);
-
 	/// How long a restarted agent looks for the entry of an upstream that restarted with it. After that time the entry
 	/// of the previous upstream has expired, so the entry that is left in the store is the valid one.
 	inline constexpr milliseconds identification_time{5'000};
@@ -138,14 +136,16 @@
 	///
 	/// Load pattern: after a power loss the store still lists the previous upstreams, and the new ones register under
 	/// other keys. An agent that watches the old key learns of its new upstream only when the old entry expires,
-	/// seconds later. Until then it cannot answer `not_held`, so every flow is probed at every upstream and callers
-	/// wait. An agent that knows all flows is not in a hurry. When the upstream restarts while its agent runs, the
-	/// former entry says nothing about the new run either, for example that it is draining.
+	/// seconds later. Until then it does not know whether its upstream is in cold start or draining. An agent that
+	/// knows all flows is not in a hurry. When the upstream restarts while its agent runs, the former entry says
+	/// nothing about the new run either.
 	///
-	/// \param started_at_ms	Unix time at which this process started.
-	/// \returns				The key of its upstream's entry, or the whole group while that entry may be outdated.
+	/// \param first_listing	Revision of the first listing that this process read. An upstream that registered later
+	///						is running; start times do not tell, since clocks may be set back in between.
+	/// \returns			The key of its upstream's entry, or the whole group while that entry may be outdated.
 	[[nodiscard]] watch_scope choose_watch_scope(const agent_state& state, const catalog& known,
-												 std::int64_t started_at_ms, monotonic_time now);
+												 const std::optional<store_revision>& first_listing,
+												 monotonic_time now);
 
 	/// Handles a packet that the upstream sent or bounced.
 	[[nodiscard]] agent_decision handle_upstream_packet(agent_state& state, const segment& packet, monotonic_time now);
@@ -185,6 +185,18 @@
 	[[nodiscard]] std::vector<ipv4> load_report_recipients(agent_state& state, const load_report& report,
 														   std::uint32_t slots, monotonic_time now);
 
-	/// Removes idle flows and expired subscriptions.
+	/// How long after the idle timeout a flow may still be in use: its last packet before that may have been lost and
+	/// is sent again up to 1.6 s later.
+	inline constexpr milliseconds idle_margin{2'000};
+
+	/// A process that did not run for this long may have missed packets of its flows. A sweep is due every second.
+	inline constexpr milliseconds longest_sweep_gap{3'000};
+
+	/// Removes idle flows and expired subscriptions. Call it once a second.
+	///
+	/// Sets `knows_all_flows` when this process has seen all packets of its upstream for longer than the idle timeout:
+	/// an unknown flow has then been idle for that long. Until then, only the upstream can deny a flow from before this
+	/// process started. Neither the age of the upstream's entry nor its start time shows that there is none: the entry
+	/// may have expired and returned, and clocks may be set back.
 	void expire_idle(agent_state& state, const catalog& known, monotonic_time now);
 }
--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -81,13 +81,14 @@
 		std::optional<std::uint64_t> era;   ///< Era of the answers so far.
 		store_revision revision;            ///< All changes up to this revision are known.
 		store_revision first_page_revision; ///< Revision of the first page; the pages are not a consistent snapshot.
-		bool listed_once = false;           ///< A complete listing has been read.
-		bool unreachable = false;           ///< The last call failed.
-		std::uint32_t failures = 0;         ///< Consecutive failed calls.
-		monotonic_time last_answer;         ///< When the last complete answer arrived.
-		monotonic_time last_change_at{};    ///< When the last answer with changes arrived, or zero.
-		monotonic_time recovered_at;        ///< When the store first answered after a failure.
-		monotonic_time next_call_at;        ///< Earliest time of the next call.
+		std::optional<store_revision> first_listing; ///< Revision of the first complete listing.
+		bool listed_once = false;                    ///< A complete listing has been read.
+		bool unreachable = false;                    ///< The last call failed.
+		std::uint32_t failures = 0;                  ///< Consecutive failed calls.
+		monotonic_time last_answer;                  ///< When the last complete answer arrived.
+		monotonic_time last_change_at{};             ///< When the last answer with changes arrived, or zero.
+		monotonic_time recovered_at;                 ///< When the store first answered after a failure.
+		monotonic_time next_call_at;                 ///< Earliest time of the next call.
 		monotonic_time newer_known_since{}; ///< When another process was found to know a newer revision, or zero.
 	};
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -82,9 +82,14 @@
 				node_.orders_reader.use_agent_intervals();
 				node_.upstreams_reader.use_agent_intervals();
 				node_.upstreams_reader.set_watch_scope_selector(
-					[this] { return choose_watch_scope(state_, node_.catalog, started_at_ms_, node_.loop.now()); });
+					[this]
+					{
+						const auto& first_listing = node_.upstreams_reader.state().first_listing;
+						return choose_watch_scope(state_, node_.catalog, first_listing, node_.loop.now());
+					});
 				state_.knows_all_flows = settings.first_start;
 				state_.gate.started = node_.loop.now();
+				state_.watched_since = node_.loop.now();
 			}
 
 			/// Opens the sockets.
@@ -305,7 +310,6 @@
 
 			void handle_query(const message& query, ipv4 balancer)
 			{
-				update_flow_knowledge(state_, node_.catalog, started_at_ms_);
 				const auto answers = answer_query(state_, steering::decode_flows(query.packet));
 				std::array<std::byte, steering::max_flows_per_message * steering::encoded_answer_size> encoded{};
 				const auto part = std::span{answers}.first(std::min(answers.size(), steering::max_flows_per_message));
@@ -551,7 +555,6 @@
 
 			node node_;
 			steering::agent_state state_;
-			std::int64_t started_at_ms_ = runtime::read_wall_clock().time_since_epoch().count();
 			status_server status_;
 			process_signals signals_;
 			runtime::file_descriptor peers_;
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -25,10 +25,6 @@
 		/// Idle timeout of flows if none is published.
 		constexpr std::chrono::seconds default_idle_timeout{60};
 
-		/// An upstream that started at most this long before its agent is regarded as started together with it:
-		/// no earlier agent process can have forwarded flows to it.
-		constexpr milliseconds common_start_window{1'000};
-
 		/// How long a flow that both sides closed is kept for late packets.
 		constexpr std::chrono::seconds closed_retention{1};
 
@@ -334,25 +330,16 @@
 		return answers;
 	}
 
-	void update_flow_knowledge(agent_state& state, const catalog& known, std::int64_t started_at_ms)
-	{
-		const auto* own = own_upstream(state.gate, known);
-		if (own != nullptr && own->entry.started_at_ms + common_start_window.count() >= started_at_ms)
-		{
-			state.knows_all_flows = true;
-		}
-	}
-
-	watch_scope choose_watch_scope(const agent_state& state, const catalog& known, std::int64_t started_at_ms,
-								   monotonic_time now)
+	watch_scope choose_watch_scope(const agent_state& state, const catalog& known,
+								   const std::optional<store_revision>& first_listing, monotonic_time now)
 	{
 		const auto* own = own_upstream(state.gate, known);
 		const bool listed = own != nullptr && own->listed;
-		const bool started_together = listed && own->entry.started_at_ms + common_start_window.count() >= started_at_ms;
+		const bool registered_since_start = listed && first_listing && own->registered > *first_listing;
 		const bool settled = state.upstream_is_older || now - state.gate.started >= identification_time;
 		const bool ended = listed && state.gate.ended_run_at >= own->changed_at &&
 						   now - state.gate.ended_run_seen_at < identification_time;
-		if (!ended && (started_together || (listed && settled)))
+		if (!ended && (registered_since_start || (listed && settled)))
 		{
 			return {.key = own->key, .coalescing_delay = agent_coalescing_delay};
 		}
@@ -374,6 +361,7 @@
 		if (flow == nullptr)
 		{
 			state.knows_all_flows = false;
+			state.watched_since = now;
 			return decision;
 		}
 		if (flow->request_in_progress && (packet.rst || packet.payload_size > 0))
@@ -535,7 +523,13 @@
 	void expire_idle(agent_state& state, const catalog& known, monotonic_time now)
 	{
 		const auto idle_timeout =
-			known.idle_timeout.count() > 0 ? known.idle_timeout : milliseconds{default_idle_timeout};
+			idle_margin + (known.idle_timeout.count() > 0 ? known.idle_timeout : milliseconds{default_idle_timeout});
+		if (state.last_sweep != monotonic_time{} && now - state.last_sweep > longest_sweep_gap)
+		{
+			state.watched_since = now;
+		}
+		state.last_sweep = now;
+		state.knows_all_flows = state.knows_all_flows || now - state.watched_since > idle_timeout;
 		for (auto it = state.flows.begin(); it != state.flows.end();)
 		{
 			const auto idle_time = now - it->second.last_used;
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -47,6 +47,7 @@
 			return false;
 		}
 		follower.revision = follower.first_page_revision;
+		follower.first_listing = follower.first_listing.value_or(follower.revision);
 		follower.next = store_follower::step::watch;
 		follower.last_key.clear();
 		follower.listed_once = true;
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace nutmegturn::steering::testing
 {
@@ -22,6 +23,16 @@
 				state.gate.instance = instance(1);
 				state.gate.zone = "a";
 				state.gate.service = key_of_service("desk");
+				state.watched_since = now;
+			}
+
+			/// Sweeps once a second, as a running agent does.
+			void run_for(milliseconds time)
+			{
+				for (const auto end = now + time; now < end; now += 1s)
+				{
+					expire_idle(state, known, now);
+				}
 			}
 
 			agent_decision packet(message_kind kind, const segment& it)
@@ -294,16 +305,53 @@
 			EXPECT_EQ(other_balancer(state, balancer), ipv4{0x0a010902});
 		}
 
-		// Guards against searches that never end after a power loss because no agent can deny a flow.
-		TEST_F(steering_agent_flow, knows_all_flows_if_upstream_is_not_older)
+		class steering_agent_flow_knowledge : public steering_agent
+		{
+		protected:
+			flow_presence presence()
+			{
+				return answer_query(state, std::array{flow}).at(0).presence;
+			}
+		};
+
+		// Guards against resets of open flows after a clock was set back: an agent that started seconds after its
+		// upstream took the upstream for the younger one, and denied the flows that its predecessor had forwarded.
+		TEST_F(steering_agent_flow_knowledge, is_not_inferred_from_the_start_time_of_the_upstream)
 		{
 			auto own = entry(1, "desk", "a");
-			own.started_at_ms = 5'000'000;
+			own.started_at_ms = std::numeric_limits<std::int64_t>::max() / 2;
 			put(known, "u1", own);
-			update_flow_knowledge(state, known, 5'060'000);
-			EXPECT_FALSE(state.knows_all_flows) << "the upstream started before the agent";
-			update_flow_knowledge(state, known, 5'000'900);
-			EXPECT_TRUE(state.knows_all_flows);
+			run_for(5s);
+			EXPECT_EQ(presence(), flow_presence::unknown) << "only the upstream can deny the flow";
+			EXPECT_TRUE(packet(message_kind::probe, data()).to_upstream);
+			auto back = data();
+			back.bounced = true;
+			const auto replies = upstream(back).replies;
+			ASSERT_EQ(replies.size(), 1U);
+			EXPECT_EQ(replies[0].kind, message_kind::not_held) << "a flow that nobody holds is denied at once";
+		}
+
+		// Guards against searches that never end because no agent can deny a flow: a silent upstream does not bounce
+		// the probe, but the flow has been idle for longer than the timeout.
+		TEST_F(steering_agent_flow_knowledge, is_complete_after_the_idle_timeout)
+		{
+			known.idle_timeout = 15s;
+			run_for(known.idle_timeout);
+			EXPECT_EQ(presence(), flow_presence::unknown);
+			run_for(idle_margin + 2s);
+			EXPECT_EQ(presence(), flow_presence::not_held);
+		}
+
+		// Guards against denied flows whose packets arrived while the process was frozen.
+		TEST_F(steering_agent_flow_knowledge, starts_anew_after_a_pause_of_the_process)
+		{
+			known.idle_timeout = 15s;
+			run_for(5s);
+			now += 20s;
+			run_for(10s);
+			EXPECT_EQ(presence(), flow_presence::unknown);
+			run_for(10s);
+			EXPECT_EQ(presence(), flow_presence::not_held);
 		}
 
 		// Guards against probes at all upstreams after an upstream ended and its agent could not deny the flow.
@@ -342,20 +390,29 @@
 		class steering_agent_restart : public steering_agent
 		{
 		protected:
-			static constexpr std::int64_t started_at_ms = 5'000'000;
+			/// Revision of the listing that the process read when it started.
+			static constexpr store_revision first_listing{.era = 0, .number = 100};
 
 			void SetUp() override
 			{
 				steering_agent::SetUp();
 				state.gate.started = now;
-				auto before = entry(1, "desk", "a");
-				before.started_at_ms = started_at_ms - 60'000;
-				put(known, "u1", before);
+			}
+
+			/// Registers a run of the upstream after the process started.
+			void register_run(const std::string& key)
+			{
+				auto made = entry(1, "desk", "a");
+				const store_revision revision{.era = 0, .number = first_listing.number + 1};
+				apply_record(
+					known, record_group::upstreams,
+					{.key = key, .revision = revision, .created = revision, .value = std::move(made), .encoded = {}},
+					now);
 			}
 
 			watch_scope part()
 			{
-				return choose_watch_scope(state, known, started_at_ms, now);
+				return choose_watch_scope(state, known, first_listing, now);
 			}
 		};
 
@@ -365,13 +422,21 @@
 		{
 			EXPECT_EQ(part().key, "");
 			EXPECT_EQ(part().coalescing_delay, identification_coalescing_delay);
-			auto after = entry(1, "desk", "a");
-			after.started_at_ms = started_at_ms + 20;
-			put(known, "u9", after);
+			register_run("u9");
 			EXPECT_EQ(part().key, "u9");
 			EXPECT_EQ(part().coalescing_delay, agent_coalescing_delay);
 		}
 
+		// Guards against an agent that takes the entry of its previous upstream, whose clock was ahead, for that of the
+		// new one, and misses that the new one is in cold start.
+		TEST_F(steering_agent_restart, does_not_compare_start_times)
+		{
+			auto before = entry(1, "desk", "a");
+			before.started_at_ms = std::numeric_limits<std::int64_t>::max() / 2;
+			put(known, "u1", before);
+			EXPECT_EQ(part().key, "");
+		}
+
 		// Guards against store calls for changes of all upstreams by agents that restarted without their upstream.
 		TEST_F(steering_agent_restart, watches_its_entry_once_upstream_proves_older)
 		{
@@ -413,9 +478,7 @@
 			/// Registers the new run of the upstream under another key.
 			void register_new_run()
 			{
-				auto present = entry(1, "desk", "a");
-				present.started_at_ms = started_at_ms + 20'000;
-				put(known, "u9", present, now);
+				register_run("u9");
 			}
 
 			/// Expects that the agent watches all entries until it knows the one of the new run.
