Reset only flows that opened at the upstream that ended

Cause, two parts. An agent reported a flow as held as soon as its upstream had answered the opening packet, and the balancer let that report replace the confirmed holder; a late copy of an opening packet, forwarded after a freeze, thus moved an open flow to an upstream that never had it. And when that upstream's port refused a packet, the agent reset every flow of its table, also those that had not opened there.

Change: an answered opening packet is reported as "accepted", a new kind of message; "held" needs an answer to the caller's data. A balancer keeps the first upstream that accepted until one proves to hold the flow. On a refused packet the agent resets the flows that were open at its upstream, returns unanswered opening packets as declined, so that their callers lose no attempt, and denies the others; a balancer forgets a holder that denies.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -38,6 +38,9 @@
 		bool first_request_due = false;      ///< Opened here; the caller has not sent its first request yet.
 		bool from_probe = false;             ///< Known from a probe only; another upstream may hold the flow.
 		bool announced = false;              ///< The balancers of the caller's zone were notified of the holder.
+
+		/// Opening packet that the upstream has not answered and that no packet of the caller has followed.
+		std::vector<std::byte> opening_packet;
 	};
 
 	/// Balancer that subscribes to load reports.
@@ -61,7 +64,8 @@
 		message_kind kind = message_kind::load;
 		flow_id flow;
 		admission_status why = admission_status::accepting;
-		bool with_packet = false; ///< Includes the packet that caused the message.
+		bool with_packet = false;        ///< Includes the packet that caused the message.
+		std::vector<std::byte> packet{}; ///< Another packet to include.
 	};
 
 	/// Reset to send to a flow's caller.
@@ -151,7 +155,10 @@
 	[[nodiscard]] agent_decision handle_upstream_packet(agent_state& state, const segment& packet, monotonic_time now);
 
 	/// Handles a refused connection: nothing listens on the upstream's port, so its flows are lost.
-	/// \returns	Resets for the callers of its flows, and `not_held` replies for flows that were only probed there.
+	///
+	/// A flow that never opened there may be open at another upstream: late copies of opening packets are answered too.
+	/// \returns	Resets for the callers of the flows that were open there. For the others, `not_held` replies, or
+	///				`declined` ones with the opening packet, so that their balancers try or search other upstreams.
 	[[nodiscard]] connection_refused_decision handle_connection_refused(agent_state& state, monotonic_time now);
 
 	/// Registers or renews a balancer's subscription to load reports.
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -13,7 +13,7 @@
 	struct balancer_flow
 	{
 		ipv4 holder{};                ///< Instance of the agent whose upstream holds the flow.
-		bool confirmed = false;       ///< The agent reported that its upstream holds the flow.
+		bool confirmed = false;       ///< The agent reported that its upstream accepted or holds the flow.
 		std::vector<ipv4> tried;      ///< Instances that got the opening packet before `holder`.
 		std::vector<ipv4> unanswered; ///< Those of `tried` without an answer; one may have opened the flow.
 		monotonic_time last_used;
@@ -76,6 +76,10 @@
 	/// Returns the agents of listed upstreams that have not sent any message to this process.
 	[[nodiscard]] std::vector<ipv4> unheard_agents(const balancer_state& state, const catalog& known);
 
+	/// Records an agent whose upstream answered a flow's opening packet. The first one is used until another upstream
+	/// proves to hold the flow: copies of the packet, which may arrive late, are answered by other upstreams too.
+	void record_acceptance(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now);
+
 	/// Records the agent whose upstream holds a flow.
 	void record_holder(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now);
 
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -21,16 +21,17 @@
 		probe_relay, ///< Balancer to agent: send the packet as `probe` to these agents.
 		query,       ///< Balancer to agent: asks which of these flows the upstream holds.
 		subscribe,   ///< Balancer to agent: subscribes to load reports and to held flows of the balancer's zone.
-		held,        ///< Agent to balancer: the upstream holds the flow.
+		held,        ///< Agent to balancer: the flow is open at the upstream.
 		not_held,    ///< Agent to balancer: the upstream does not hold the flow.
 		declined,    ///< Agent to balancer: returns an opening packet that the upstream does not accept now.
 		load,        ///< Agent to balancer: load report without a flow.
 		query_reply, ///< Agent to balancer: answers a query.
-		held_flows   ///< Agent to balancers of a zone: flows of that zone that the upstream holds.
+		held_flows,  ///< Agent to balancers of a zone: flows of that zone that the upstream holds.
+		accepted     ///< Agent to balancer: the upstream answered the opening packet; the flow may open elsewhere.
 	};
 
 	/// Number of values that a message's kind can have on the wire, including the unused 0.
-	inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::held_flows) + 1;
+	inline constexpr std::size_t message_kind_count = static_cast<std::size_t>(message_kind::accepted) + 1;
 
 	/// Returns the name for metrics.
 	[[nodiscard]] std::string_view to_string(message_kind kind) noexcept;
@@ -78,7 +79,7 @@
 		service_key service{};          ///< `open`: service chosen for the flow.
 		std::uint64_t version = 0;      ///< Newest configuration version known to the sender.
 		store_revision orders_revision; ///< Newest revision of `operator_orders` known to the sender.
-		flow_id flow;                   ///< `held`, `not_held`.
+		flow_id flow;                   ///< `held`, `not_held`, `accepted`.
 		load_report load;               ///< All messages from agents.
 		ipv4 other_balancer{};          ///< All messages from agents: a balancer other than the receiver, or zero.
 		ipv4 reply_to{};                ///< `probe`: balancer that gets the reply.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -374,7 +374,11 @@
 				const auto load = make_load_report(state_, node_.catalog, node_.loop.now());
 				for (const auto& reply : decision.replies)
 				{
-					send(reply.balancer, reply.kind, reply.flow, load, {});
+					if (reply.kind == message_kind::declined)
+					{
+						log_decline(reply);
+					}
+					send(reply.balancer, reply.kind, reply.flow, load, reply.packet);
 				}
 				if (first_refusal)
 				{
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -213,6 +213,10 @@
 				record_opening(state, *flow, now);
 			}
 			flow->opened_here = true;
+			if (flow->stage == flow_stage::unconfirmed)
+			{
+				flow->opening_packet.assign(msg.packet.begin(), msg.packet.end());
+			}
 			record_delivery(state.gate, now);
 			decision.to_upstream = true;
 			return decision;
@@ -224,6 +228,28 @@
 			return flow.stage == flow_stage::open && !flow.caller_closed && !flow.upstream_closed;
 		}
 
+		/// Tells the balancers of a flow that it is not open at an upstream that has ended.
+		void give_back(connection_refused_decision& decision, agent_flow& flow, const flow_id& id)
+		{
+			if (flow.last_balancer != ipv4{})
+			{
+				add_waiting_balancer(flow, flow.last_balancer);
+			}
+			const bool opening = !flow.opening_packet.empty();
+			for (const auto balancer : flow.waiting_balancers)
+			{
+				// Only one of them may place the flow anew.
+				const bool returns_packet = opening && balancer == flow.last_balancer;
+				decision.replies.push_back(
+					{.balancer = balancer,
+					 .kind = returns_packet ? message_kind::declined : message_kind::not_held,
+					 .flow = id,
+					 .why = returns_packet ? admission_status::upstream_unreachable : admission_status::accepting,
+					 .with_packet = false,
+					 .packet = returns_packet ? flow.opening_packet : std::vector<std::byte>{}});
+			}
+		}
+
 		[[nodiscard]] agent_decision handle_bounced_packet(agent_state& state, const segment& packet,
 														   monotonic_time now)
 		{
@@ -282,6 +308,7 @@
 			return decision;
 		}
 		record_caller_data(state, *flow, packet);
+		flow->opening_packet.clear();
 		flow->last_balancer = balancer;
 		flow->from_probe = msg.kind == message_kind::probe && flow->stage == flow_stage::unconfirmed;
 		if (flow->stage != flow_stage::open)
@@ -374,6 +401,7 @@
 			return decision;
 		}
 		flow->from_probe = false;
+		flow->opening_packet.clear();
 		state.upstream_is_older = state.upstream_is_older || !flow->opened_here;
 		flow->stage = packet.syn ? std::max(flow->stage, flow_stage::half_open) : flow_stage::open;
 		if (packet.payload_size > 0 && flow->request_in_progress)
@@ -385,27 +413,23 @@
 			set_request_in_progress(state, *flow, false);
 		}
 		flow->upstream_closed = flow->upstream_closed || packet.fin;
-		reply_to_waiting_balancers(decision, *flow, id, message_kind::held, admission_status::accepting, false);
+		const auto kind = flow->stage == flow_stage::open ? message_kind::held : message_kind::accepted;
+		reply_to_waiting_balancers(decision, *flow, id, kind, admission_status::accepting, false);
 		return decision;
 	}
 
 	connection_refused_decision handle_connection_refused(agent_state& state, monotonic_time now)
 	{
 		connection_refused_decision decision;
-		for (const auto& [id, flow] : state.flows)
+		for (auto& [id, flow] : state.flows)
 		{
-			if (!flow.from_probe)
+			if (flow.stage == flow_stage::open)
 			{
 				decision.resets.push_back({.flow = id, .sequence = flow.acknowledgement});
-				continue;
 			}
-			for (const auto balancer : flow.waiting_balancers)
+			else
 			{
-				decision.replies.push_back({.balancer = balancer,
-											.kind = message_kind::not_held,
-											.flow = id,
-											.why = admission_status::accepting,
-											.with_packet = false});
+				give_back(decision, flow, id);
 			}
 		}
 		state.flows.clear();
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -193,7 +193,8 @@
 			load.report = msg.load;
 			load.reported_at = now;
 			load.flows_since_report = 0;
-			if (msg.kind == message_kind::held || msg.kind == message_kind::declined)
+			if (msg.kind == message_kind::held || msg.kind == message_kind::accepted ||
+				msg.kind == message_kind::declined)
 			{
 				load.unanswered_since = {};
 			}
@@ -222,6 +223,16 @@
 			return place_flow(state, known, route->second, id, found->second, now);
 		}
 
+		/// Drops the record that an agent's upstream holds a flow, so that the flow's next packet starts a search.
+		void forget_holder(balancer_state& state, const flow_id& id, ipv4 agent)
+		{
+			const auto found = state.flows.find(id);
+			if (found != state.flows.end() && found->second.holder == agent)
+			{
+				state.flows.erase(found);
+			}
+		}
+
 		/// Handles a packet that the upstream bounced: searches for the holder among the other agents.
 		[[nodiscard]] steering_decision handle_not_held(balancer_state& state, const catalog& known,
 														const segment& packet, ipv4 agent, monotonic_time now)
@@ -315,6 +326,15 @@
 		flow.unanswered.clear();
 	}
 
+	void record_acceptance(balancer_state& state, const flow_id& id, ipv4 agent, monotonic_time now)
+	{
+		const auto found = state.flows.find(id);
+		if (found == state.flows.end() || !found->second.confirmed)
+		{
+			record_holder(state, id, agent, now);
+		}
+	}
+
 	steering_decision handle_agent_message(balancer_state& state, const catalog& known, const message& msg,
 										   const segment* packet, ipv4 agent, monotonic_time now)
 	{
@@ -324,6 +344,11 @@
 			record_holder(state, msg.flow, agent, now);
 			return {};
 		}
+		if (msg.kind == message_kind::accepted)
+		{
+			record_acceptance(state, msg.flow, agent, now);
+			return {};
+		}
 		if (msg.kind == message_kind::held_flows)
 		{
 			for (const auto& id : decode_flows(msg.packet))
@@ -336,6 +361,11 @@
 		{
 			return handle_not_held(state, known, *packet, agent, now);
 		}
+		if (msg.kind == message_kind::not_held)
+		{
+			forget_holder(state, msg.flow, agent);
+			return {};
+		}
 		if (msg.kind == message_kind::declined && packet != nullptr)
 		{
 			return handle_decline(state, known, *packet, agent, now);
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -22,8 +22,8 @@
 
 		/// Names for metrics, in the order of `message_kind`; the first one is unused.
 		constexpr std::array<std::string_view, message_kind_count> kind_names{
-			"none", "open",     "flow_packet", "probe", "probe_relay", "query",     "subscribe",
-			"held", "not_held", "declined",    "load",  "query_reply", "held_flows"};
+			"none", "open",     "flow_packet", "probe", "probe_relay", "query",      "subscribe",
+			"held", "not_held", "declined",    "load",  "query_reply", "held_flows", "accepted"};
 
 		/// Writes consecutive little-endian fields.
 		struct writer
@@ -86,7 +86,7 @@
 
 		[[nodiscard]] bool has_flow(message_kind kind) noexcept
 		{
-			return kind == message_kind::held || kind == message_kind::not_held;
+			return kind == message_kind::held || kind == message_kind::not_held || kind == message_kind::accepted;
 		}
 
 		/// Returns the size of the fields between the prefix and the packet.
@@ -252,8 +252,7 @@
 			return std::nullopt;
 		}
 		const auto kind = in.take<std::uint8_t>();
-		if (kind < static_cast<std::uint8_t>(message_kind::open) ||
-			kind > static_cast<std::uint8_t>(message_kind::held_flows))
+		if (kind < static_cast<std::uint8_t>(message_kind::open) || kind >= message_kind_count)
 		{
 			return std::nullopt;
 		}
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -65,8 +65,37 @@
 			const auto decision = upstream(reply(0, true));
 			EXPECT_TRUE(decision.to_caller);
 			ASSERT_EQ(decision.replies.size(), 1U);
+			EXPECT_EQ(decision.replies[0].kind, message_kind::accepted);
+			EXPECT_EQ(decision.replies[0].balancer, balancer);
+		}
+
+		// Guards against an answered opening packet that is taken for an open flow: another upstream may have answered
+		// a copy of it earlier.
+		TEST_F(steering_agent_opening, reports_flow_as_held_when_the_upstream_answers_its_data)
+		{
+			packet(message_kind::open, opening());
+			upstream(reply(0, true));
+			packet(message_kind::flow_packet, data());
+			const auto decision = upstream(reply(50));
+			ASSERT_EQ(decision.replies.size(), 1U);
 			EXPECT_EQ(decision.replies[0].kind, message_kind::held);
+		}
+
+		// Guards against a caller that loses its attempt because the upstream has just ended: its balancer can place
+		// the flow elsewhere.
+		TEST_F(steering_agent_opening, returns_unanswered_packet_when_upstream_port_refuses)
+		{
+			auto msg = about_flow(message_kind::open);
+			const std::vector bytes{std::byte{7}};
+			msg.packet = bytes;
+			EXPECT_TRUE(handle_balancer_packet(state, known, msg, opening(), balancer, now).to_upstream);
+			const auto decision = handle_connection_refused(state, now);
+			EXPECT_TRUE(decision.resets.empty());
+			ASSERT_EQ(decision.replies.size(), 1U);
+			EXPECT_EQ(decision.replies[0].kind, message_kind::declined);
 			EXPECT_EQ(decision.replies[0].balancer, balancer);
+			EXPECT_EQ(decision.replies[0].why, admission_status::upstream_unreachable);
+			EXPECT_EQ(decision.replies[0].packet, bytes);
 		}
 
 		// Guards against flows that reach the wrong service after an address was reused.
@@ -216,6 +245,22 @@
 			EXPECT_EQ(make_load_report(state, known, now).admission, admission_status::upstream_unreachable);
 		}
 
+		// Guards against resets of flows that are open at another upstream. An agent woke up and forwarded opening
+		// packets whose copies had been opened elsewhere, and reset those flows when its own upstream ended.
+		TEST_F(steering_agent_flow, denies_flow_that_never_opened_there_when_upstream_port_refuses)
+		{
+			packet(message_kind::open, opening());
+			upstream(reply(0, true));
+			packet(message_kind::flow_packet, data());
+			const auto decision = handle_connection_refused(state, now);
+			EXPECT_TRUE(decision.resets.empty());
+			ASSERT_EQ(decision.replies.size(), 1U);
+			EXPECT_EQ(decision.replies[0].kind, message_kind::not_held);
+			EXPECT_EQ(decision.replies[0].balancer, balancer);
+			EXPECT_EQ(answer_query(state, std::array{flow}).at(0).presence, flow_presence::not_held)
+				<< "a flow that is open nowhere can be declared lost";
+		}
+
 		// Guards against a search for every flow of the zone after each restart of a balancer.
 		TEST_F(steering_agent_flow, announces_flow_once_to_zone_and_again_to_new_balancer)
 		{
