Accept every published form of the stop grace

Cause: the settings page gives bounds as whole numbers, fractions, or true or false; read_settings() took whole numbers up to 3600 only, and a process that has no settings in force ends.

Change: bounds.grace_s takes any number from 0, kept to the millisecond and limited to an hour. A truth value gives no figure: the process then stops as early as leaving the rotation allows. Negative values, nan and other types are still refused, with the value in the message.

Conclusion: it is the only bound that the processes read. The other numbers of the settings are ports, and a configuration's times already have a reading for fractions or unknown values.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -264,6 +264,36 @@
 			EXPECT_TRUE(std::get<0>(settings).first_start);
 		}
 
+		// Guards against processes that end at each start while a bound of the settings is not a whole number. The
+		// platform gives bounds as whole numbers, fractions, or truth values.
+		TEST_F(settings_file, accepts_any_published_form_of_a_bound)
+		{
+			const std::vector<std::pair<std::string, steering::milliseconds>> forms{
+				{"6", 6s},   {"6.5", 6'500ms}, {"0.0", 0ms},  {"0.0004", 0ms},
+				{"1e9", 1h}, {"7200", 1h},     {"true", 0ms}, {"false", 0ms}};
+			for (const auto& [form, expected] : forms)
+			{
+				auto text = good;
+				text.replace(text.find("= 6") + 2, 1, form);
+				const auto settings = read(text);
+				ASSERT_TRUE(has_value(settings)) << form << ": " << to_string(std::get<1>(settings));
+				EXPECT_EQ(std::get<0>(settings).stop_grace, expected) << form;
+			}
+		}
+
+		// Guards against a bound without a meaning that is taken for another value.
+		TEST_F(settings_file, refuses_a_bound_that_is_no_figure)
+		{
+			for (const std::string form : {"-0.5", "nan", "\"6\"", "[6]"})
+			{
+				auto text = good;
+				text.replace(text.find("= 6") + 2, 1, form);
+				const auto refused = read(text);
+				ASSERT_FALSE(has_value(refused)) << form;
+				EXPECT_EQ(std::get<1>(refused).path, "bounds.grace_s");
+			}
+		}
+
 		// Guards against an error message that does not say which settings field is invalid.
 		TEST_F(settings_file, reports_the_path_and_value_of_the_first_invalid_field)
 		{
