Confirm the list of upstreams on a connection of its own

After a power loss nearly every flow is denied, one after the other, and callers got their resets late.

Change: the confirming watch has its own connection and leaves the pending watch alone unless it brings a change. Confirmations start 20 ms apart. The list has to be complete as of the packet that started the search, in place of the last denial: its flow was open by then, so its upstream was listed.

--- a/include/nutmegturn/steering/holder_search.hpp
+++ b/include/nutmegturn/steering/holder_search.hpp
@@ -28,8 +28,9 @@
 		std::vector<ipv4> query_recipients; ///< Recipients of the next query.
 		std::vector<ipv4> unresponsive;     ///< Required instances that have not answered at all.
 		std::vector<ipv4> awaiting_denial;  ///< Required instances that have not denied the flow.
-		monotonic_time started_at;
-		monotonic_time last_query_at;            ///< When the last query was queued.
+		monotonic_time searched_since; ///< Arrival of the packet that started the search; the flow was open by then.
+		monotonic_time started_at;     ///< Start of the latest round.
+		monotonic_time last_query_at;  ///< When the last query was queued.
 		std::optional<monotonic_time> denied_at; ///< When the last required instance denied the flow.
 	};
 
@@ -148,8 +149,9 @@
 	/// Returns the flows that all required instances have denied.
 	[[nodiscard]] std::vector<flow_id> denied_flows(const holder_search& search);
 
-	/// Returns when the last of the denied flows was denied, or zero if there is none.
-	[[nodiscard]] monotonic_time latest_denial(const holder_search& search);
+	/// Returns the latest start of a search whose flow was denied, or zero if there is none. A catalog that is complete
+	/// as of then lists the upstreams of all denied flows.
+	[[nodiscard]] monotonic_time latest_denied_search(const holder_search& search);
 
 	/// Decides about a denied flow: queries required instances that were not queried yet, or resets the flow. Since a
 	/// search queries each instance in one round only, it ends.
@@ -157,7 +159,7 @@
 	/// Load pattern: after a power loss upstreams register one after the other while all callers continue flows that no
 	/// upstream holds, so every search meets upstreams that were added after its first round.
 	/// \param required	Instances that must deny the flow according to the current catalog.
-	/// \param current	Whether the catalog is known to be complete as of the last denial or later.
+	/// \param current	Whether the catalog is known to be complete as of the start of the search or later.
 	[[nodiscard]] search_step confirm_denied(holder_search& search, const flow_id& id,
 											 const std::vector<ipv4>& required, monotonic_time now, bool current);
 
--- a/src/node/search_runner.cpp
+++ b/src/node/search_runner.cpp
@@ -64,7 +64,7 @@
 	{
 		if (denial_check_timer_ == 0 && !denied_flows(search_).empty())
 		{
-			schedule_denial_check();
+			check_denied_flows();
 		}
 	}
 
@@ -78,7 +78,7 @@
 
 	void search_runner::schedule_denial_check()
 	{
-		node_.upstreams_reader.confirm(latest_denial(search_));
+		node_.upstreams_reader.confirm(latest_denied_search(search_));
 		denial_check_timer_ =
 			node_.loop.call_at(node_.loop.now() + denial_check_interval, [this] { check_denied_flows(); });
 	}
@@ -89,8 +89,8 @@
 		node_.loop.cancel(std::exchange(denial_check_timer_, 0));
 		for (const auto& id : denied_flows(search_))
 		{
-			const auto denied = *search_.pending.at(id).denied_at;
-			const bool current = node_.upstreams_complete() && node_.upstreams_reader.is_up_to_date_since(denied);
+			const auto since = search_.pending.at(id).searched_since;
+			const bool current = node_.upstreams_complete() && node_.upstreams_reader.is_up_to_date_since(since);
 			const auto required = steering::required_answers(state_, node_.catalog, id, now);
 			apply_search_step(confirm_denied(search_, id, required, now, current), ipv4{});
 		}
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -9,7 +9,7 @@
 	namespace
 	{
 		/// Shortest time between the starts of two confirmations. Limits the calls while flows are denied continuously.
-		constexpr std::chrono::milliseconds confirmation_interval{100};
+		constexpr std::chrono::milliseconds confirmation_interval{20};
 
 		[[nodiscard]] platform::store_response decode(const http_result& result)
 		{
@@ -28,7 +28,8 @@
 
 	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& catalog, const endpoint& store,
 							   steering::record_group group, std::uint64_t seed)
-		: loop_{loop}, log_{log}, catalog_{catalog}, group_{group}, connection_{loop, store}, random_{seed}
+		: loop_{loop}, log_{log}, catalog_{catalog}, group_{group}, connection_{loop, store},
+		  confirmation_connection_{loop, store}, random_{seed}
 	{
 	}
 
@@ -46,6 +47,8 @@
 	{
 		const bool calling = counts_.listings > 0 && call_timer_ == 0;
 		connection_.set_server(store);
+		confirming_ = false;
+		confirmation_connection_.set_server(store);
 		if (calling)
 		{
 			call();
@@ -91,27 +94,74 @@
 	void store_reader::confirm(monotonic_time time)
 	{
 		confirmation_wanted_ = std::max(confirmation_wanted_, time);
-		if (follower_.unreachable || !confirmation_due())
+		const bool watching = follower_.next == store_follower::step::watch && only_key_.empty();
+		if (!watching || follower_.unreachable || confirming_ || is_up_to_date_since(confirmation_wanted_))
 		{
 			return;
 		}
-		if (call_timer_ != 0)
+		const auto due = confirmation_started_ + confirmation_interval;
+		if (loop_.now() >= due)
 		{
-			loop_.cancel(call_timer_);
-			call();
+			call_for_confirmation();
 			return;
 		}
-		if (follower_.next == store_follower::step::watch && !confirming_)
+		if (confirmation_timer_ == 0)
 		{
-			connection_.close();
-			call();
+			confirmation_timer_ = loop_.call_at(due,
+												[this]
+												{
+													confirmation_timer_ = 0;
+													confirm(confirmation_wanted_);
+												});
 		}
 	}
 
-	bool store_reader::confirmation_due() const
+	void store_reader::call_for_confirmation()
+	{
+		confirming_ = true;
+		confirmation_started_ = loop_.now();
+		++counts_.watches;
+		++counts_.confirmations;
+		const auto wait = steering::min_watch_wait;
+		confirmation_connection_.get(platform::watch_target(group_, {}, follower_.revision.number, wait),
+									 steering::call_timeout + wait,
+									 [this](const http_result& result) { handle_confirmation(result); });
+	}
+
+	void store_reader::handle_confirmation(const http_result& result)
 	{
-		return !is_up_to_date_since(confirmation_wanted_) &&
-			   loop_.now() - confirmation_started_ >= confirmation_interval;
+		confirming_ = false;
+		if (confirms_revision(result))
+		{
+			follower_.last_answer = loop_.now();
+			up_to_date_since_ = confirmation_started_;
+			confirm(confirmation_wanted_);
+			if (answer_handler_)
+			{
+				answer_handler_();
+			}
+			return;
+		}
+		// Taken for the answer of the pending watch, which may have been lost.
+		connection_.close();
+		loop_.cancel(std::exchange(call_timer_, 0));
+		call_started_ = confirmation_started_;
+		handle_result(result);
+	}
+
+	bool store_reader::confirms_revision(const http_result& result) const
+	{
+		const auto response = decode(result);
+		return response.result == platform::store_response::outcome::complete && response.records.empty() &&
+			   response.revision.era == follower_.revision.era;
+	}
+
+	void store_reader::abandon_confirmation()
+	{
+		if (std::exchange(confirming_, false))
+		{
+			confirmation_connection_.close();
+		}
 	}
 
 	bool store_reader::is_up_to_date_since(monotonic_time time) const noexcept
@@ -125,15 +175,7 @@
 		call_started_ = loop_.now();
 		const bool watch = follower_.next == store_follower::step::watch;
 		++(watch ? counts_.watches : counts_.listings);
-		confirming_ = watch && confirmation_due();
-		if (confirming_)
-		{
-			confirmation_started_ = call_started_;
-			++counts_.confirmations;
-		}
-		const auto wait = confirming_ ? steering::min_watch_wait
-						  : watch     ? next_watch_wait(follower_)
-									  : steering::milliseconds{0};
+		const auto wait = watch ? next_watch_wait(follower_) : steering::milliseconds{0};
 		const auto target = watch ? platform::watch_target(group_, only_key_, follower_.revision.number, wait)
 								  : platform::listing_target(group_, follower_.last_key);
 		const auto timeout = steering::call_timeout + wait;
@@ -142,6 +184,8 @@
 
 	void store_reader::handle_result(const http_result& result)
 	{
+		// A confirmation in progress asks for the changes since a revision that this answer may replace.
+		abandon_confirmation();
 		try
 		{
 			apply_result(result);
@@ -204,6 +248,7 @@
 		}
 		update_watch_scope();
 		call_when_due();
+		confirm(confirmation_wanted_);
 		if (answer_handler_)
 		{
 			answer_handler_();
@@ -460,6 +505,7 @@
 		}
 		++counts_.failed;
 		connection_.close();
+		abandon_confirmation();
 		record_failure(follower_, random_(), loop_.now());
 		call_when_due();
 	}
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -17,11 +17,10 @@
 	{
 		std::uint64_t listings = 0;
 		std::uint64_t watches = 0;
-		std::uint64_t changed = 0;   ///< Watches that were answered with changes.
-		std::uint64_t unchanged = 0; ///< Watches that were answered without changes.
-		std::uint64_t failed = 0;    ///< Calls without a usable answer.
-		std::uint64_t confirmations =
-			0; ///< Those of `watches` with a short wait, to confirm that no change was missed.
+		std::uint64_t changed = 0;       ///< Watches that were answered with changes.
+		std::uint64_t unchanged = 0;     ///< Watches that were answered without changes.
+		std::uint64_t failed = 0;        ///< Calls without a usable answer.
+		std::uint64_t confirmations = 0; ///< Those of `watches` that `confirm` made.
 	};
 
 	/// Keeps a catalog up to date from one group of keys of the metadata store.
@@ -74,9 +73,10 @@
 		void apply_relayed(const http_result& result);
 
 		/// Makes the store answer a call that starts at `time` or later, so that `is_up_to_date_since(time)` soon
-		/// holds. Ends a pause between calls, or repeats a pending watch with a short wait on a new connection.
-		/// Consecutive confirmations start at least `confirmation_interval` apart. Does nothing while the store is
-		/// unreachable. \param time	Not in the future.
+		/// holds. The call is a watch with a short wait on a connection of its own; a change that it brings replaces
+		/// the pending watch. Such calls start at least `confirmation_interval` apart. Without effect while the store
+		/// is unreachable, and while the group is listed or only one of its keys is watched. \param time	Not in the
+		/// future.
 		void confirm(monotonic_time time);
 
 		/// Returns whether every change that the store had at `time` is known: the store has answered a call that
@@ -99,8 +99,12 @@
 		void call_when_due();
 		void call();
 
-		/// Returns whether the next watch has to be a short one, for `confirm`.
-		[[nodiscard]] bool confirmation_due() const;
+		void call_for_confirmation();
+		void handle_confirmation(const http_result& result);
+
+		/// Returns whether an answer shows that the known revision is still the newest one of the group.
+		[[nodiscard]] bool confirms_revision(const http_result& result) const;
+		void abandon_confirmation();
 		void handle_result(const http_result& result);
 		void apply_result(const http_result& result);
 		void apply_answer(const platform::store_response& response);
@@ -130,6 +134,7 @@
 		steering::catalog& catalog_;
 		steering::record_group group_;
 		http_connection connection_;
+		http_connection confirmation_connection_;
 		std::function<steering::watch_scope()> watch_scope_selector_;
 		std::function<void()> answer_handler_;
 		std::string only_key_; ///< Key that is watched; empty for the whole group.
@@ -141,8 +146,9 @@
 		monotonic_time listing_started_;             ///< Start of the call for the first page of the latest listing.
 		monotonic_time up_to_date_since_;            ///< Every change that the store had then is known.
 		monotonic_time confirmation_wanted_;         ///< Latest time for which `confirm` was called.
-		monotonic_time confirmation_started_;        ///< Start of the latest watch with a short wait.
-		bool confirming_ = false;                    ///< The call in progress is a watch with a short wait.
+		monotonic_time confirmation_started_;        ///< Start of the latest call for a confirmation.
+		std::uint64_t confirmation_timer_ = 0;       ///< Timer of the next confirmation; 0 if none is scheduled.
+		bool confirming_ = false;                    ///< A call for a confirmation is in progress.
 		store_call_counts counts_;
 		bool settled_listing_scheduled_ = false;
 	};
--- a/src/steering/holder_search.cpp
+++ b/src/steering/holder_search.cpp
@@ -115,6 +115,7 @@
 		pending.query_recipients = candidates;
 		pending.candidates = std::move(candidates);
 		pending.rounds = 0;
+		pending.searched_since = now;
 		start_round(search, id, pending, std::move(required), now);
 		return true;
 	}
@@ -259,12 +260,12 @@
 		return flows;
 	}
 
-	monotonic_time latest_denial(const holder_search& search)
+	monotonic_time latest_denied_search(const holder_search& search)
 	{
 		monotonic_time latest{};
 		for (const auto& [id, pending] : search.pending)
 		{
-			latest = std::max(latest, pending.denied_at.value_or(monotonic_time{}));
+			latest = pending.denied_at ? std::max(latest, pending.searched_since) : latest;
 		}
 		return latest;
 	}
