Keep packets of unknown routes until the store confirms the configuration

A balancer reset a flow of an unknown route if any answer about the configuration had arrived in the last 11.2 s, also while the watch that would have told of the route was lost. A flow that another balancer had opened on a new route was broken so when it moved to this one.

Change: a packet of a flow that may be open is kept, up to 256 of them for 1 s, until the store has answered a call that started after its arrival; then it is steered anew, by its route or to a reset. Opening packets are reset as before, since that breaks no open flow.

Measured: unrouted_packets_on_loopback.* (a lost change, a route that does not exist, a silent store) fail when the packet is steered at once as before.

Conclusion: an opening packet at a route that this process missed is still refused for up to about 2 s, until another process names the newer revision.

--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -3,6 +3,7 @@
 #include "node/node.hpp"
 #include "node/process_signals.hpp"
 #include "node/search_runner.hpp"
+#include "node/unrouted_packets.hpp"
 #include "platform/packet_format.hpp"
 #include "runtime/udp.hpp"
 
@@ -68,6 +69,7 @@
 				state_.started = node_.loop.now();
 				node_.upstreams_reader.use_balancer_intervals();
 				node_.upstreams_reader.set_answer_handler([this] { searches_.on_store_answer(); });
+				node_.orders_reader.set_answer_handler([this] { unrouted_.on_store_answer(); });
 			}
 
 			/// Opens the sockets.
@@ -122,19 +124,34 @@
 				node_.metrics.add(counter::packets_received, reason::none, n);
 				for (std::size_t i = 0; i < n; ++i)
 				{
-					const auto bytes = batch_.payload(i);
-					const auto packet = platform::decode_packet(bytes);
-					if (!packet || node_.catalog.version == 0)
-					{
-						node_.metrics.add(counter::packets_dropped, packet ? reason::not_current : reason::malformed);
-						continue;
-					}
-					const auto decision =
-						steer_packet(state_, node_.catalog, *packet, node_.loop.now(), node_.configuration_current());
+					handle_caller_packet(batch_.payload(i));
+				}
+			}
+
+			void handle_caller_packet(std::span<const std::byte> bytes)
+			{
+				const auto packet = platform::decode_packet(bytes);
+				if (!packet || node_.catalog.version == 0)
+				{
+					node_.metrics.add(counter::packets_dropped, packet ? reason::not_current : reason::malformed);
+					return;
+				}
+				// The reset of an opening packet breaks no open flow, so it needs no further confirmation.
+				const bool current = packet->syn && node_.configuration_current();
+				const auto decision = steer_packet(state_, node_.catalog, *packet, node_.loop.now(), current);
+				const bool may_be_open = !packet->syn && !packet->rst;
+				if (decision.why != reason::route_unknown || !may_be_open || !unrouted_.keep(bytes))
+				{
 					apply_decision(decision, *packet, bytes);
 				}
 			}
 
+			void steer_unrouted_packet(std::span<const std::byte> bytes)
+			{
+				const auto packet = platform::decode_packet(bytes);
+				apply_decision(steer_packet(state_, node_.catalog, *packet, node_.loop.now(), true), *packet, bytes);
+			}
+
 			void read_peers()
 			{
 				const auto n = batch_.receive(peers_.get());
@@ -398,6 +415,8 @@
 				 { send_packet(agent, kind, bytes); },
 				 .reset_flow = [this](const steering::flow_id& flow, std::uint32_t sequence, reason why)
 				 { reset_flow(flow, sequence, why); }}};
+			unrouted_packets unrouted_{node_,
+									   [this](std::span<const std::byte> bytes) { steer_unrouted_packet(bytes); }};
 			status_server status_;
 			process_signals signals_;
 			runtime::file_descriptor callers_;
