Tell other processes the newest revision of an upstream's entry

A watch whose answer was lost stays pending for up to 11.2 s at a balancer and 31.2 s at an agent, also after the store is sound again.

Change: a subscription and a load report hold the newest revision of the entry of the agent's upstream that the sender knows. A process that has had a call pending for 1.2 s since it heard of a newer one repeats the call, as it does for the operator's orders. The field takes the place of the packet, which these kinds do not have, so processes of the former build ignore it.

Conclusion: a lost answer about an upstream is made up for in about 2 s as long as any process that talks to its agent, or the agent, has read it.

--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -89,6 +89,8 @@
 		/// `open`, `flow_packet`, `probe`, `declined`, `not_held`: the caller's packet.
 		/// `held_flows`, `query`: encoded flows. `query_reply`: encoded answers.
 		/// `probe_relay`: the agents to probe and the caller's packet.
+		/// `subscribe`, `load`: encoded revision of the entry of the agent's upstream, the newest that the sender
+		/// knows.
 		std::span<const std::byte> packet;
 	};
 
@@ -149,6 +151,15 @@
 	/// Decodes the payload of a `probe_relay` message. Has no agents if the list is truncated.
 	[[nodiscard]] probe_relay_request decode_probe_relay(std::span<const std::byte> bytes);
 
+	/// Size of an encoded revision, in bytes.
+	inline constexpr std::size_t encoded_revision_size = 8;
+
+	/// Encodes the revision of an entry for a `subscribe` or `load` message.
+	[[nodiscard]] std::array<std::byte, encoded_revision_size> encode_revision(const store_revision& revision) noexcept;
+
+	/// Decodes the revision of an entry. A message without one decodes to zero.
+	[[nodiscard]] store_revision decode_revision(std::span<const std::byte> bytes) noexcept;
+
 	/// Returns the key of an availability zone.
 	[[nodiscard]] std::uint32_t key_of_zone(std::string_view name) noexcept;
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -300,11 +300,13 @@
 			void handle_subscribe(const message& msg, ipv4 balancer)
 			{
 				const bool is_new = !state_.balancers.contains(balancer);
+				const auto entry_revision = steering::decode_revision(msg.packet);
+				newest_entry_revision_ = std::max(newest_entry_revision_, entry_revision);
+				node_.upstreams_reader.handle_known_revision(entry_revision);
 				send_held_flows(handle_subscription(state_, msg, balancer, node_.loop.now()));
 				if (is_new || msg.just_started)
 				{
-					send(balancer, message_kind::load, {}, make_load_report(state_, node_.catalog, node_.loop.now()),
-						 {});
+					send_load(balancer, make_load_report(state_, node_.catalog, node_.loop.now()));
 				}
 			}
 
@@ -474,6 +476,18 @@
 				to_callers_->add(to_endpoint({.ip = caller, .port = node_.settings.caller_packets.port}), bytes);
 			}
 
+			/// Sends a load report with the newest known revision of the upstream's entry. A balancer whose watch lost
+			/// the answer that told of that revision reads the entries again.
+			void send_load(ipv4 balancer, const steering::load_report& report)
+			{
+				const auto* own = own_upstream(state_.gate, node_.catalog);
+				if (own != nullptr)
+				{
+					newest_entry_revision_ = std::max(newest_entry_revision_, node_.catalog.revisions.at(own->key));
+				}
+				send(balancer, message_kind::load, {}, report, steering::encode_revision(newest_entry_revision_));
+			}
+
 			void send(ipv4 balancer, message_kind kind, const steering::flow_id& flow,
 					  const steering::load_report& load, std::span<const std::byte> packet)
 			{
@@ -513,7 +527,7 @@
 				const auto report = make_load_report(state_, node_.catalog, now);
 				for (const auto balancer : load_report_recipients(state_, report, slots(), now))
 				{
-					send(balancer, message_kind::load, {}, report, {});
+					send_load(balancer, report);
 				}
 				node_.loop.call_at(now + load_interval, [this] { report_load(); });
 			}
@@ -542,7 +556,7 @@
 				const auto report = make_load_report(state_, node_.catalog, node_.loop.now());
 				for (const auto& [balancer, heard] : state_.balancers)
 				{
-					send(balancer, message_kind::load, {}, report, {});
+					send_load(balancer, report);
 				}
 				node_.log.write(log_level::info, "stopping",
 								"agent stopping; balancers notified to place no new flows on it");
@@ -569,6 +583,7 @@
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_upstream_;
 			bool queue_check_scheduled_ = false;
+			steering::store_revision newest_entry_revision_; ///< Of the own upstream, according to any process.
 		};
 	}
 
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -170,9 +170,13 @@
 
 			void handle_message(const message& msg, ipv4 agent)
 			{
-				const bool lists_flows = msg.kind == message_kind::held_flows || msg.kind == message_kind::query_reply;
+				if (msg.kind == message_kind::load)
+				{
+					node_.upstreams_reader.handle_known_revision(steering::decode_revision(msg.packet));
+				}
+				const bool has_packet = msg.kind == message_kind::declined || msg.kind == message_kind::not_held;
 				const auto packet =
-					lists_flows || msg.packet.empty() ? std::nullopt : platform::decode_packet(msg.packet);
+					!has_packet || msg.packet.empty() ? std::nullopt : platform::decode_packet(msg.packet);
 				const auto decision = handle_agent_message(state_, node_.catalog, msg, packet ? &*packet : nullptr,
 														   agent, node_.loop.now());
 				if (packet)
@@ -333,6 +337,8 @@
 				msg.just_started = !first_subscribe_;
 				for (const auto& [key, upstream] : node_.catalog.upstreams)
 				{
+					const auto revision = steering::encode_revision(node_.catalog.revisions.at(key));
+					msg.packet = revision;
 					send(upstream.entry.address.ip, msg);
 				}
 				schedule_subscribe_retry();
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -176,6 +176,20 @@
 		return flows;
 	}
 
+	std::array<std::byte, encoded_revision_size> encode_revision(const store_revision& revision) noexcept
+	{
+		std::array<std::byte, encoded_revision_size> bytes{};
+		writer to{.out = bytes};
+		to.put(pack_revision(revision));
+		return bytes;
+	}
+
+	store_revision decode_revision(std::span<const std::byte> bytes) noexcept
+	{
+		reader in{.in = bytes};
+		return bytes.size() < encoded_revision_size ? store_revision{} : unpack_revision(in.take<std::uint64_t>());
+	}
+
 	std::vector<std::byte> encode_probe_relay(std::span<const ipv4> agents, std::span<const std::byte> packet)
 	{
 		std::vector<std::byte> bytes(1 + agents.size() * sizeof(std::uint32_t) + packet.size());
--- a/tests/steering_message_test.cpp
+++ b/tests/steering_message_test.cpp
@@ -83,6 +83,15 @@
 			}
 		}
 
+		// Guards against revisions that are lost between encoding and decoding, and against a message of a process that
+		// sends none.
+		TEST(steering_message, round_trips_entry_revision)
+		{
+			const store_revision revision{.era = 3, .number = 99};
+			EXPECT_EQ(decode_revision(encode_revision(revision)), revision);
+			EXPECT_EQ(decode_revision({}), store_revision{});
+		}
+
 		// Guards against probes to arbitrary instances from a truncated message.
 		TEST(steering_message, round_trips_probe_relay)
 		{
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -40,6 +40,10 @@
 				{
 					answers.pop_front();
 				}
+				if (answer.status == testing::lost)
+				{
+					throw std::runtime_error{"answer lost"};
+				}
 				return answer;
 			}
 
@@ -235,6 +239,31 @@
 			EXPECT_FALSE(known.evacuations.contains("a"));
 		}
 
+		// Guards against new flows at a draining upstream: the watch that would have told of its state stays pending
+		// for up to 31 s after its answer was lost, although the upstream's agent or a balancer knows a newer revision.
+		TEST_F(store_reader_on_loopback, reads_again_when_another_process_knows_a_newer_entry)
+		{
+			answers = {{.status = 200,
+						.body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":9}})", item("servers/a", 8))},
+					   {.status = testing::lost, .body = {}},
+					   {.status = 200, .body = fmt::format(R"({{"events":[{}],"as_of":12}})", item("servers/a", 12))},
+					   {.status = testing::lost, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::upstreams, 1};
+			ASSERT_EQ(store.listen(address), "");
+			loop.set_exception_handler([](const std::exception&) {});
+			reader.start();
+			std::function<void()> hear = [this, &reader, &hear]
+			{
+				reader.handle_known_revision({.era = 0, .number = 12});
+				loop.call_at(loop.now() + 500ms, hear);
+			};
+			loop.call_at(loop.now() + 100ms, hear);
+			loop.call_at(loop.now() + 3s, [this] { loop.stop(); });
+			loop.run();
+			EXPECT_EQ(reader.state().revision.number, 12U);
+			ASSERT_EQ(calls.size(), 4U) << "a known revision starts no further calls";
+		}
+
 		// Guards against a listing that is taken for complete while one of its pages is missing. A flow at an upstream
 		// of that page was reset.
 		TEST_F(store_reader_on_loopback, is_up_to_date_only_after_the_last_page)
