Let the report of a stopped agent age

"The upstream holds no flow", the last report of an agent that shuts down, counted until the next process at that address was heard, up to a second after its start or later if that message was lost. Flows opened through the next process could be reset meanwhile.

Change: the report of an agent whose upstream is listed counts for 2.5 s, the time after which an agent counts as silent. A balancer subscribes to a stopped agent of a listed upstream every 100 ms, as to one that it has not heard, beginning with the report.

Conclusion: a flow of an upstream that has left is still reset at once, as the test does_not_require_answer_of_drained_agent and its neighbours ask.

--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -73,7 +73,8 @@
 	[[nodiscard]] std::vector<ipv4> required_answers(const balancer_state& state, const catalog& known,
 													 const flow_id& id, monotonic_time now);
 
-	/// Returns the agents of listed upstreams that have not sent any message to this process.
+	/// Returns the agents of listed upstreams that have not sent any message to this process, or none since they were
+	/// stopped.
 	[[nodiscard]] std::vector<ipv4> unheard_agents(const balancer_state& state, const catalog& known);
 
 	/// Records an agent whose upstream answered a flow's opening packet. The first one is used until another upstream
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -174,11 +174,17 @@
 				{
 					node_.upstreams_reader.handle_known_revision(steering::decode_revision(msg.packet));
 				}
+				const bool stops = msg.load.admission == steering::admission_status::stopping ||
+								   msg.load.admission == steering::admission_status::drained;
 				const bool has_packet = msg.kind == message_kind::declined || msg.kind == message_kind::not_held;
 				const auto packet =
 					!has_packet || msg.packet.empty() ? std::nullopt : platform::decode_packet(msg.packet);
 				const auto decision = handle_agent_message(state_, node_.catalog, msg, packet ? &*packet : nullptr,
 														   agent, node_.loop.now());
+				if (stops)
+				{
+					schedule_subscribe_retry();
+				}
 				if (packet)
 				{
 					apply_decision(decision, *packet, msg.packet);
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -50,7 +50,9 @@
 		}
 
 		/// Returns whether an agent's answer is required to declare a flow lost. It is not required from an agent that
-		/// is shutting down if its upstream holds no flow or has left the store.
+		/// has just reported that its upstream holds no flow, nor from one that is shutting down or silent while its
+		/// upstream has left the store. Such a report says nothing about the next process of a listed upstream, so it
+		/// counts only for `agent_timeout`.
 		[[nodiscard]] bool is_answer_required(const balancer_state& state, const known_upstream& upstream,
 											  monotonic_time now)
 		{
@@ -58,12 +60,13 @@
 			const auto found = state.loads.find(agent);
 			const auto admission =
 				found == state.loads.end() ? admission_status::accepting : found->second.report.admission;
+			const bool alive = is_agent_alive(state, agent, now);
+			const bool drained = alive && admission == admission_status::drained;
 			if (upstream.listed)
 			{
-				return admission != admission_status::drained;
+				return !drained;
 			}
-			return admission != admission_status::drained && admission != admission_status::stopping &&
-				   is_agent_alive(state, agent, now);
+			return alive && !drained && admission != admission_status::stopping;
 		}
 
 		/// Returns whether a flow's holder may still be reachable.
@@ -112,6 +115,14 @@
 			return decision;
 		}
 
+		/// Returns whether nothing has been heard of the process that runs at an agent's instance, or is to run there
+		/// next.
+		[[nodiscard]] bool is_unheard(const upstream_load& load) noexcept
+		{
+			return load.reported_at == monotonic_time{} || load.report.admission == admission_status::stopping ||
+				   load.report.admission == admission_status::drained;
+		}
+
 		void record_opening_sent(balancer_state& state, ipv4 agent, monotonic_time now)
 		{
 			auto& load = state.loads[agent];
@@ -304,7 +315,7 @@
 		for (const auto& [key, it] : known.upstreams)
 		{
 			const auto found = state.loads.find(it.entry.address.ip);
-			if (it.listed && (found == state.loads.end() || found->second.reported_at == monotonic_time{}))
+			if (it.listed && (found == state.loads.end() || is_unheard(found->second)))
 			{
 				add_if_absent(agents, it.entry.address.ip);
 			}
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -278,6 +278,34 @@
 			EXPECT_EQ(std::ranges::count(packet(data()).required, instance(1)), 0);
 		}
 
+		// Guards against resets of flows that were opened after an agent had stopped and started again: the report of
+		// the process that ended was still in force.
+		TEST_F(steering_balancer_unknown_flow, requires_answer_of_listed_agent_some_time_after_it_drained)
+		{
+			receive_state(instance(1), admission_status::drained);
+			now += 3s;
+			EXPECT_EQ(std::ranges::count(packet(data()).required, instance(1)), 1);
+			put(known, "u1", removed_record{});
+			EXPECT_EQ(std::ranges::count(packet(data()).required, instance(1)), 0)
+				<< "a flow of an upstream that has left can be declared lost";
+		}
+
+		// Guards against the same while the report is recent: the balancer subscribes to the next process at once.
+		TEST_F(steering_balancer_unknown_flow, looks_for_the_next_process_of_a_stopped_agent)
+		{
+			for (const std::uint32_t number : {1U, 2U, 3U, 4U})
+			{
+				receive_state(instance(number), admission_status::accepting);
+			}
+			EXPECT_TRUE(unheard_agents(state, known).empty());
+			receive_state(instance(1), admission_status::stopping);
+			receive_state(instance(2), admission_status::drained);
+			EXPECT_EQ(unheard_agents(state, known), (std::vector{instance(1), instance(2)}));
+			receive_state(instance(1), admission_status::accepting);
+			put(known, "u2", removed_record{});
+			EXPECT_TRUE(unheard_agents(state, known).empty());
+		}
+
 		// Guards against the same delay if the upstream left the store before its agent stopped.
 		TEST_F(steering_balancer_unknown_flow, does_not_require_answer_of_agent_that_stopped_after_its_upstream)
 		{
