Search all services after versions of the configuration were skipped

A route's flows stay at a service that a later version takes from the route. A process knows such services from the versions that it has read; a listing, also one that another process relays, holds the newest version only. Flows that others had opened by a version in between were searched at the wrong upstreams and reset.

Change: when a listing or a relayed record brings another version, searches cover the upstreams of all services for 60 s, as after the process's start.

Measured: store_reader_on_loopback.notes_versions_that_a_listing_skips and steering_balancer_unknown_flow.queries_upstreams_of_all_services_after_ skipped_versions fail with the two lines of the change taken out and pass with them.

Conclusion: by reading only; the cost is a few more queries for a minute.

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -75,6 +75,7 @@
 	{
 		std::uint64_t version = 0;
 		milliseconds idle_timeout{0};
+		monotonic_time versions_skipped_at{}; ///< When a version was read without those before it, or zero.
 		std::map<ipv4_endpoint, known_route> routes;
 		std::map<service_key, service_record> services;
 		std::map<std::string, known_upstream> upstreams;
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -332,6 +332,7 @@
 
 	void store_reader::apply_listing(const platform::store_response& response)
 	{
+		const auto version = catalog_.version;
 		std::string last_key;
 		for (const auto& record : response.records)
 		{
@@ -339,6 +340,7 @@
 			follower_.listed_keys.insert(record.key);
 			last_key = record.key;
 		}
+		mark_skipped_versions(version);
 		if (record_listing_page(follower_, response.revision, last_key, response.has_more, loop_.now()))
 		{
 			finish_listing(follower_.listed_keys, follower_.revision);
@@ -348,6 +350,14 @@
 		}
 	}
 
+	void store_reader::mark_skipped_versions(std::uint64_t former_version)
+	{
+		if (catalog_.version != former_version)
+		{
+			catalog_.versions_skipped_at = loop_.now();
+		}
+	}
+
 	void store_reader::finish_listing(const std::set<std::string>& listed, const steering::store_revision& revision)
 	{
 		for (const auto& [key, effect] : steering::finish_listing(catalog_, group_, listed, revision, loop_.now()))
@@ -449,6 +459,7 @@
 		}
 		const bool newer = response.revision > newest;
 		newer ? apply_relayed_listing(response) : apply_relayed_configuration(response);
+		mark_skipped_versions(version);
 		if (newer || catalog_.version != version)
 		{
 			log_.write(log_level::info, orders ? "orders_relayed" : "upstreams_relayed",
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -110,6 +110,10 @@
 		void apply_answer(const platform::store_response& response);
 		void apply_listing(const platform::store_response& response);
 
+		/// Notes that a listing brought another version than the former one. A listing holds the newest version only; a
+		/// watch brings all of them.
+		void mark_skipped_versions(std::uint64_t former_version);
+
 		/// Removes the records that a complete listing lacks, also from what is served to other processes.
 		void finish_listing(const std::set<std::string>& listed, const steering::store_revision& revision);
 		void apply_watch(const platform::store_response& response);
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -87,12 +87,14 @@
 		}
 
 		/// Starts a search for a flow's holder. A process cannot know which services the route had before it started,
-		/// so it queries all agents for as long as flows from that time can be open. An upstream without an entry may
+		/// or in versions of the configuration that it skipped, so it queries all agents for as long as flows from that
+		/// time can be open. An upstream without an entry may
 		/// still hold the flow, but its agent may be down too, so its answer is not required.
 		[[nodiscard]] steering_decision search_holder(const balancer_state& state, const catalog& known,
 													  const known_route& route, monotonic_time now)
 		{
-			const bool all_services = now - state.started < former_upstream_retention;
+			const auto services_known_since = std::max(state.started, known.versions_skipped_at);
+			const bool all_services = now - services_known_since < former_upstream_retention;
 			steering_decision decision;
 			decision.what = steering_decision::action::search;
 			for (const auto& [service, upstreams] : known.by_service)
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -246,6 +246,20 @@
 			EXPECT_EQ(packet(data()).agents.size(), 4U);
 		}
 
+		// Guards against resets of open flows whose service the route had only in a version of the configuration that
+		// this process skipped, and against searches across a whole large deployment ever after.
+		TEST_F(steering_balancer_unknown_flow, queries_upstreams_of_all_services_after_skipped_versions)
+		{
+			now += former_upstream_retention;
+			known.versions_skipped_at = now;
+			now += 1s;
+			const auto decision = packet(data());
+			EXPECT_EQ(decision.agents.size(), 4U);
+			EXPECT_EQ(decision.required.size(), 4U);
+			now += former_upstream_retention;
+			EXPECT_EQ(packet(data()).agents.size(), 3U);
+		}
+
 		// Guards against a search that never ends because a removed upstream cannot answer, and against a search that
 		// misses such an upstream while it still serves.
 		TEST_F(steering_balancer_unknown_flow, queries_upstream_without_entry_but_does_not_require_answer)
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -222,6 +222,37 @@
 			EXPECT_EQ(known.version, 9U);
 		}
 
+		// Guards against resets of flows at a service that a route had in a version which this process never read: such
+		// flows are searched at the upstreams of all services.
+		TEST_F(store_reader_on_loopback, notes_versions_that_a_listing_skips)
+		{
+			const auto configuration = [](int version)
+			{ return item("op/config", version, fmt::format(R"({{"version":{},"routes":[]}})", version)); };
+			const auto listing = [&configuration](int version)
+			{
+				return status_response{.status = 200,
+									   .body = fmt::format(R"({{"items":[{}],"as_of":9}})", configuration(version))};
+			};
+			answers = {listing(3),
+					   {.status = 200, .body = fmt::format(R"({{"events":[{}],"as_of":10}})", configuration(4))},
+					   {.status = 410, .body = {}},
+					   listing(7),
+					   {.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::operator_orders, 1};
+			std::vector<std::pair<std::uint64_t, monotonic_time>> skipped;
+			reader.set_answer_handler([this, &skipped]
+									  { skipped.emplace_back(known.version, known.versions_skipped_at); });
+			ASSERT_EQ(store.listen(address), "");
+			reader.start();
+			loop.call_at(loop.now() + 1s, [this] { loop.stop(); });
+			loop.run();
+			ASSERT_GE(skipped.size(), 4U);
+			EXPECT_EQ(skipped[1].first, 4U);
+			EXPECT_EQ(skipped[1].second, skipped[0].second) << "a watch brings every version";
+			EXPECT_EQ(skipped[3].first, 7U);
+			EXPECT_GT(skipped[3].second, skipped[0].second);
+		}
+
 		// Guards against the same in a process that read its orders from another one while the store was away, and
 		// knows no era of the store yet.
 		TEST_F(store_reader_on_loopback, lists_again_after_relayed_records_of_a_former_era)
