Read entries that lack a published field as unreadable

Cause: the platform's page says that an entry has `version` and `sequence`, and that one with "fields missing or of another type" names no target to use. decode_upstream() never looked at `version` and took a missing `sequence` for 0, so the odd entry counted as the target's latest one.

Entries without the two fields in the samples of a test and a fuzz driver were such odd entries themselves and have them now; the fuzz driver's odd field comes first, as the first of two counts.

--- a/fuzz/platform_store.cpp
+++ b/fuzz/platform_store.cpp
@@ -34,8 +34,9 @@
 		const auto nested = std::string(depth, '[') + std::string(depth, ']');
 		const auto with_field = [](std::string_view name, std::string_view text)
 		{
-			return fmt::format(R"({{"service":"desk","zone":"a","state":"ready","address":"10.1.0.9:8080",)"
-							   R"("max_concurrency":5,"cold_remaining_ms":0,"{}":{}}})",
+			// Of a field that is given twice, the first one counts.
+			return fmt::format(R"({{"{}":{},"service":"desk","zone":"a","state":"ready","address":"10.1.0.9:8080",)"
+							   R"("version":"v1","max_concurrency":5,"cold_remaining_ms":0,"sequence":4}})",
 							   name, text);
 		};
 		return {nested,
--- a/tests/nutmegturnctl_test.cpp
+++ b/tests/nutmegturnctl_test.cpp
@@ -162,7 +162,7 @@
 		const auto entry = [](const char* zone, const char* state, int host)
 		{
 			return base64(fmt::format(R"({{"service":"desk","address":"10.1.0.{}:8080","zone":"{}","state":"{}",)"
-									  R"("max_concurrency":2,"cold_remaining_ms":0}})",
+									  R"("version":"v1","max_concurrency":2,"cold_remaining_ms":0,"sequence":1}})",
 									  host, zone, state));
 		};
 		const auto item = [](const char* key, int revision, const std::string& value)
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -37,6 +37,7 @@
 				 std::initializer_list<std::pair<std::string_view, std::string_view>>{{"service", R"("desk")"},
 																					  {"address", R"("10.1.0.9:8080")"},
 																					  {"zone", R"("a")"},
+																					  {"version", R"("v1")"},
 																					  {"max_concurrency", "5"},
 																					  {"state", R"("ready")"},
 																					  {"cold_remaining_ms", "0"},
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -139,6 +139,30 @@
 			EXPECT_EQ(it->started_at_ms, 1'700'000'000'000);
 		}
 
+		/// Returns the good entry with a part replaced.
+		[[nodiscard]] std::string entry_with(std::string_view part, std::string_view replacement)
+		{
+			std::string text{good_entry};
+			return text.replace(text.find(part), part.size(), replacement);
+		}
+
+		// Guards against new flows at a draining upstream: an entry of another writer that lacked `version` counted as
+		// one of the upstream at its address, and replaced that upstream's own entry.
+		TEST(store_format, rejects_entries_that_lack_a_published_field)
+		{
+			for (const auto& bad :
+				 {entry_with(R"("version":"v1",)", ""), entry_with(R"("version":"v1")", R"("version":1)"),
+				  entry_with(R"("sequence":4,)", ""), entry_with(R"("sequence":4)", R"("sequence":"4")"),
+				  entry_with(R"("born":1700000000000)", R"("born":"yesterday")"),
+				  entry_with(R"("born":1700000000000)", R"("born":1.5)")})
+			{
+				const auto value = decode_one("servers/i-1", bad);
+				EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(value)) << bad;
+			}
+			const auto value = decode_one("servers/i-1", entry_with(R"(,"born":1700000000000)", ""));
+			EXPECT_TRUE(std::holds_alternative<steering::upstream_entry>(value)) << "entries need not tell their start";
+		}
+
 		// Guards against crashing on malformed entries of other writers, and against using them.
 		TEST(store_format, rejects_entries_with_missing_or_mistyped_fields)
 		{
