Send no revision of a former upstream's entry to its successor's agent

An agent watches the entry of its present upstream only. A newer revision of a former entry at the same address, its removal for example, made the agent repeat its watch once without need. Found by reading.

--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -343,8 +343,9 @@
 				msg.just_started = !first_subscribe_;
 				for (const auto& [key, upstream] : node_.catalog.upstreams)
 				{
+					// The agent does not watch the entries of former upstreams at its address.
 					const auto revision = steering::encode_revision(node_.catalog.revisions.at(key));
-					msg.packet = revision;
+					msg.packet = upstream.superseded ? std::span<const std::byte>{} : revision;
 					send(upstream.entry.address.ip, msg);
 				}
 				schedule_subscribe_retry();
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -75,8 +75,9 @@
 		/// Makes the store answer a call that starts at `time` or later, so that `is_up_to_date_since(time)` soon
 		/// holds. The call is a watch with a short wait on a connection of its own; a change that it brings replaces
 		/// the pending watch. Such calls start at least `confirmation_interval` apart. Without effect while the store
-		/// is unreachable, and while the group is listed or only one of its keys is watched. \param time	Not in the
-		/// future.
+		/// is unreachable, and while the group is listed or only one of its keys is watched.
+		///
+		/// \param time	Not in the future.
 		void confirm(monotonic_time time);
 
 		/// Returns whether every change that the store had at `time` is known: the store has answered a call that
