--- a/tests/search_runner_test.cpp
+++ b/tests/search_runner_test.cpp
@@ -62,7 +62,7 @@
 						to_string(instance(static_cast<std::uint32_t>(number))), 1'000 + number));
 			}
 
-			status_response answer(std::string_view target)
+			status_response answer(std::string_view target) const
 			{
 				if (target.starts_with("/kv-range?prefix=op/"))
 				{
--- a/tests/unrouted_packets_test.cpp
+++ b/tests/unrouted_packets_test.cpp
@@ -47,7 +47,7 @@
 				return settings;
 			}
 
-			status_response answer(std::string_view target)
+			status_response answer(std::string_view target) const
 			{
 				if (target.starts_with("/kv-range?prefix=op/"))
 				{
