--- a/tests/search_runner_test.cpp
+++ b/tests/search_runner_test.cpp
@@ -1,5 +1,5 @@
-#include "loopback_store.hpp"
 #include "node/search_runner.hpp"
+#include "node_on_loopback.hpp"
 #include "steering_world.hpp"
 
 #include <gtest/gtest.h>
@@ -21,19 +21,13 @@
 
 		/// Balancer's searches against a store that has three upstreams, whose entries 1 and 2 were listed before the
 		/// third registered, and whose long watches are never answered.
-		class search_runner_on_loopback : public ::testing::Test
+		class search_runner_on_loopback : public node_on_loopback
 		{
 		protected:
-			node_log log{"test"};
-			steering::node_settings settings;
-			endpoint address = own_address(17'433);
+			search_runner_on_loopback() : node_on_loopback{17'433} {}
+
 			bool third_registered = false;
 			bool store_answers = true;
-			node shared{with_store(settings, address), {}, log};
-			loopback_store store{.loop = shared.loop,
-								 .respond = [this](auto target) { return answer(target); },
-								 .calls = {},
-								 .address = address};
 			steering::balancer_state state;
 			steering::flow_id searched = flow;
 			std::vector<ipv4> queried;   ///< Instances that were sent a query.
@@ -46,12 +40,6 @@
 				 { (kind == message_kind::query ? queried : delivered).push_back(agent); },
 				 .reset_flow = [this](const steering::flow_id&, std::uint32_t, reason why) { resets.push_back(why); }}};
 
-			static const steering::node_settings& with_store(steering::node_settings& settings, const endpoint& store)
-			{
-				settings.store = *steering::parse_ipv4_endpoint(to_string(store));
-				return settings;
-			}
-
 			static std::string upstream(int number, int revision)
 			{
 				return item(
@@ -62,7 +50,7 @@
 						to_string(instance(static_cast<std::uint32_t>(number))), 1'000 + number));
 			}
 
-			status_response answer(std::string_view target) const
+			status_response answer(std::string_view target) const override
 			{
 				if (target.starts_with("/kv-range?prefix=op/"))
 				{
@@ -84,20 +72,10 @@
 						.body = fmt::format(R"({{"events":[{}],"as_of":8}})", third_registered ? upstream(3, 8) : "")};
 			}
 
-			void run_for(std::chrono::milliseconds time)
-			{
-				shared.loop.call_at(runtime::read_clock() + time, [this] { shared.loop.stop(); });
-				shared.loop.run();
-			}
-
 			void SetUp() override
 			{
-				ASSERT_EQ(store.open(), "");
-				shared.orders_reader.start();
 				shared.upstreams_reader.set_answer_handler([this] { searches.on_store_answer(); });
-				shared.upstreams_reader.start();
-				run_for(100ms);
-				ASSERT_TRUE(shared.loaded());
+				read_store();
 				ASSERT_EQ(shared.catalog.upstreams.size(), 2U);
 				state.zone = "a";
 			}
--- a/tests/unrouted_packets_test.cpp
+++ b/tests/unrouted_packets_test.cpp
@@ -1,5 +1,5 @@
-#include "loopback_store.hpp"
 #include "node/unrouted_packets.hpp"
+#include "node_on_loopback.hpp"
 #include "steering_world.hpp"
 
 #include <gtest/gtest.h>
@@ -23,31 +23,19 @@
 		}
 
 		/// Packets of a route that a balancer doesn't know, against a store whose long watches are never answered.
-		class unrouted_packets_on_loopback : public ::testing::Test
+		class unrouted_packets_on_loopback : public node_on_loopback
 		{
 		protected:
-			node_log log{"test"};
-			steering::node_settings settings;
-			endpoint address = own_address(17'434);
+			unrouted_packets_on_loopback() : node_on_loopback{17'434} {}
+
 			bool route_added = false;
 			bool store_answers = true;
-			node shared{with_store(settings, address), {}, log};
-			loopback_store store{.loop = shared.loop,
-								 .respond = [this](auto target) { return answer(target); },
-								 .calls = {},
-								 .address = address};
 			std::vector<bool> steered; ///< For each packet that was steered, whether its route was known.
 			unrouted_packets packets{
 				shared,
 				[this](auto) { steered.push_back(shared.catalog.routes.contains(steering::testing::route_address)); }};
 
-			static const steering::node_settings& with_store(steering::node_settings& settings, const endpoint& store)
-			{
-				settings.store = *steering::parse_ipv4_endpoint(to_string(store));
-				return settings;
-			}
-
-			status_response answer(std::string_view target) const
+			status_response answer(std::string_view target) const override
 			{
 				if (target.starts_with("/kv-range?prefix=op/"))
 				{
@@ -67,19 +55,10 @@
 				return {.status = 200, .body = fmt::format(R"({{"events":[{}],"as_of":6}})", change)};
 			}
 
-			void run_for(std::chrono::milliseconds time)
-			{
-				shared.loop.call_at(runtime::read_clock() + time, [this] { shared.loop.stop(); });
-				shared.loop.run();
-			}
-
 			void SetUp() override
 			{
-				ASSERT_EQ(store.open(), "");
 				shared.orders_reader.set_answer_handler([this] { packets.on_store_answer(); });
-				shared.orders_reader.start();
-				shared.upstreams_reader.start();
-				run_for(100ms);
+				read_store();
 				ASSERT_TRUE(shared.configuration_current());
 			}
 
