--- a/tests/known_revision_test.cpp
+++ b/tests/known_revision_test.cpp
@@ -31,7 +31,6 @@
 				.loop = loop, .respond = [this](auto target) { return answer(target); }, .calls = {}, .address = own};
 			steering::node_settings settings;
 			runtime::file_descriptor peer;
-			std::vector<message_kind> received;
 			store_revision reported; ///< Newest revision of the entry that the process has reported.
 			int short_watches = 0;   ///< Watches of upstream entries that were answered.
 			pid_t process = 0;
@@ -115,7 +114,6 @@
 				{
 					const auto msg = steering::decode_message(batch.payload(i));
 					ASSERT_TRUE(msg);
-					received.push_back(msg->kind);
 					if (msg->kind == message_kind::load || msg->kind == message_kind::subscribe)
 					{
 						reported = std::max(reported, steering::decode_revision(msg->packet));
--- a/tests/loopback_store.hpp
+++ b/tests/loopback_store.hpp
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <functional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
--- a/tests/node_on_loopback.hpp
+++ b/tests/node_on_loopback.hpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace nutmegturn::node::testing
 {
 	/// State that both roles share, with a store on loopback.
@@ -23,13 +25,23 @@
 			shared.loop.run();
 		}
 
+		/// Runs until a condition holds, at most 5 s.
+		void run_until(const std::function<bool()>& condition)
+		{
+			const auto end = runtime::read_clock() + std::chrono::seconds{5};
+			while (!condition() && runtime::read_clock() < end)
+			{
+				run_for(std::chrono::milliseconds{1});
+			}
+		}
+
 		/// Starts the store and reads it.
 		void read_store()
 		{
 			ASSERT_EQ(store.open(), "");
 			shared.orders_reader.start();
 			shared.upstreams_reader.start();
-			run_for(std::chrono::milliseconds{100});
+			run_until([this] { return shared.loaded(); });
 			ASSERT_TRUE(shared.loaded());
 		}
 
--- a/tests/search_runner_test.cpp
+++ b/tests/search_runner_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 
 namespace nutmegturn::node::testing
@@ -17,7 +18,8 @@
 		using steering::testing::flow;
 		using steering::testing::instance;
 
-		constexpr std::string_view lost_change = "wait_ms=10000";
+		/// End of the target of a watch that waits for changes.
+		constexpr std::string_view long_watch = "wait_ms=10000";
 
 		/// Balancer's searches against a store that has three upstreams, whose entries 1 and 2 were listed before the
 		/// third registered, and whose long watches are never answered.
@@ -64,7 +66,7 @@
 					return {.status = 200,
 							.body = fmt::format(R"({{"items":[{},{}],"as_of":7}})", upstream(1, 6), upstream(2, 7))};
 				}
-				if (!store_answers || target.ends_with(lost_change) || target.starts_with("/kv-watch?prefix=op/"))
+				if (!store_answers || target.ends_with(long_watch) || target.starts_with("/kv-watch?prefix=op/"))
 				{
 					return {.status = lost, .body = {}};
 				}
@@ -89,7 +91,7 @@
 				const auto decision = steer_packet(state, shared.catalog, packet, shared.loop.now(), true);
 				ASSERT_EQ(decision.what, steering::steering_decision::action::search);
 				ASSERT_TRUE(searches.search(decision, packet, bytes));
-				run_for(20ms);
+				run_until([this] { return queried.size() >= 2; });
 				ASSERT_EQ(queried, (std::vector{instance(1), instance(2)}));
 			}
 
@@ -112,7 +114,7 @@
 			search_flow();
 			answer_query(1, flow_presence::not_held);
 			answer_query(2, flow_presence::not_held);
-			run_for(100ms);
+			run_until([this] { return queried.size() >= 3; });
 			EXPECT_TRUE(resets.empty());
 			ASSERT_EQ(queried.size(), 3U);
 			EXPECT_EQ(queried.back(), instance(3));
@@ -128,7 +130,7 @@
 			answer_query(1, flow_presence::not_held);
 			answer_query(2, flow_presence::not_held);
 			EXPECT_TRUE(resets.empty()) << "the last answer of the store is older than the denials";
-			run_for(400ms);
+			run_until([this] { return !resets.empty(); });
 			EXPECT_EQ(resets, std::vector{reason::holder_gone});
 			EXPECT_EQ(queried.size(), 2U);
 		}
@@ -137,8 +139,9 @@
 		TEST_F(search_runner_on_loopback, resets_flow_at_once_if_the_store_has_confirmed_since_the_search_began)
 		{
 			search_flow();
-			shared.upstreams_reader.confirm(shared.loop.now());
-			run_for(100ms);
+			const auto now = shared.loop.now();
+			shared.upstreams_reader.confirm(now);
+			run_until([this, now] { return shared.upstreams_reader.is_up_to_date_since(now); });
 			answer_query(1, flow_presence::not_held);
 			answer_query(2, flow_presence::not_held);
 			EXPECT_EQ(resets, std::vector{reason::holder_gone});
@@ -147,8 +150,7 @@
 		// Guards against a store that is called without pause while flows are denied one after the other.
 		TEST_F(search_runner_on_loopback, confirms_many_denied_flows_with_few_calls)
 		{
-			const auto calls_before = store.calls.size();
-			const auto started = runtime::read_clock();
+			const auto started = shared.loop.now();
 			for (int i = 0; i < 20; ++i)
 			{
 				++searched.caller.port;
@@ -157,11 +159,13 @@
 				answer_query(2, flow_presence::not_held);
 				run_for(10ms);
 			}
-			run_for(200ms);
+			run_until([this] { return resets.size() >= 20; });
 			EXPECT_EQ(resets.size(), 20U);
 			// At most one call for each 20 ms.
-			EXPECT_LE(store.calls.size() - calls_before,
-					  static_cast<std::size_t>((runtime::read_clock() - started) / 20ms) + 1);
+			const auto confirmations = shared.upstreams_reader.counts().confirmations;
+			EXPECT_LE(confirmations, static_cast<std::uint64_t>((shared.loop.now() - started) / 20ms) + 1);
+			EXPECT_EQ(std::ranges::count_if(store.calls, [](const auto& it) { return it.ends_with("wait_ms=1"); }),
+					  static_cast<std::ptrdiff_t>(confirmations));
 		}
 
 		// Guards against resets while the store gives no answer at all.
--- a/tests/unrouted_packets_test.cpp
+++ b/tests/unrouted_packets_test.cpp
@@ -75,7 +75,7 @@
 			route_added = true;
 			ASSERT_TRUE(keep_packet());
 			EXPECT_TRUE(steered.empty()) << "a pending watch does not show that the route is missing";
-			run_for(100ms);
+			run_until([this] { return !steered.empty(); });
 			EXPECT_EQ(steered, std::vector{true});
 		}
 
@@ -83,12 +83,12 @@
 		TEST_F(unrouted_packets_on_loopback, are_released_at_once_when_the_route_does_not_exist)
 		{
 			ASSERT_TRUE(keep_packet());
-			run_for(100ms);
+			run_until([this] { return !steered.empty(); });
 			EXPECT_EQ(steered, std::vector{false});
 			ASSERT_TRUE(keep_packet());
 			ASSERT_TRUE(keep_packet());
 			EXPECT_EQ(steered.size(), 1U) << "the answer is older than these packets";
-			run_for(200ms);
+			run_until([this] { return steered.size() >= 3; });
 			EXPECT_EQ(steered.size(), 3U) << "confirmations that follow each other are delayed, not left out";
 		}
 
