Confirm on a connection that was not idle, in a class of its own

The connection for confirmations is idle for long. If it goes silent, the next confirmation took 1.2 s, the store counted as lost, and a flow that nobody holds was reset some 4 s late. The answer of a watch that had started before a confirmation took back what the confirmation had shown, so that a second call was needed.

Change: store_confirmation paces the calls and keeps the time as of which every change is known, which never decreases. A connection that was not used for 1 s is replaced. Confirmations are counted apart from watches.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -40,8 +40,9 @@
 		}
 
 		/// Returns the counters of calls to the metadata store in the Prometheus text format.
-		[[nodiscard]] std::string format_store_calls(std::string_view group, const store_call_counts& counts)
+		[[nodiscard]] std::string format_store_calls(std::string_view group, const store_reader& reader)
 		{
+			const auto& counts = reader.counts();
 			return fmt::format("nutmegturn_store_calls_total{{group=\"{0}\",call=\"listing\"}} {1}\n"
 							   "nutmegturn_store_calls_total{{group=\"{0}\",call=\"watch\"}} {2}\n"
 							   "nutmegturn_store_confirmations_total{{group=\"{0}\"}} {6}\n"
@@ -49,7 +50,7 @@
 							   "nutmegturn_store_watches_answered_total{{group=\"{0}\",changes=\"no\"}} {4}\n"
 							   "nutmegturn_store_calls_failed_total{{group=\"{0}\"}} {5}\n",
 							   group, counts.listings, counts.watches, counts.changed, counts.unchanged, counts.failed,
-							   counts.confirmations);
+							   reader.confirmations());
 		}
 
 		/// Returns the modification time of a file, or -1 when it cannot be read.
@@ -189,10 +190,9 @@
 		return fmt::format("{}{}{}nutmegturn_log_lines_dropped_total {}\n"
 						   "nutmegturn_unreadable_records_total {}\nnutmegturn_datagrams_refused_total {}\n"
 						   "nutmegturn_handler_failures_total {}\nnutmegturn_searches_total {}\n{}",
-						   snapshot.to_prometheus(), format_store_calls("orders", orders_reader.counts()),
-						   format_store_calls("upstreams", upstreams_reader.counts()), log.dropped(),
-						   catalog.unreadable_records, datagrams_refused, handler_exceptions, searches,
-						   format_message_counts(messages));
+						   snapshot.to_prometheus(), format_store_calls("orders", orders_reader),
+						   format_store_calls("upstreams", upstreams_reader), log.dropped(), catalog.unreadable_records,
+						   datagrams_refused, handler_exceptions, searches, format_message_counts(messages));
 	}
 
 	bool node::loaded() const noexcept
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -8,9 +8,6 @@
 
 	namespace
 	{
-		/// Shortest time between the starts of two confirmations. Limits the calls while flows are denied continuously.
-		constexpr std::chrono::milliseconds confirmation_interval{20};
-
 		[[nodiscard]] platform::store_response decode(const http_result& result)
 		{
 			const auto era =
@@ -29,7 +26,12 @@
 	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& catalog, const endpoint& store,
 							   steering::record_group group, std::uint64_t seed)
 		: loop_{loop}, log_{log}, catalog_{catalog}, group_{group}, connection_{loop, store},
-		  confirmation_connection_{loop, store}, random_{seed}
+		  confirmation_{loop,
+						store,
+						{.target = [this] { return confirmation_target(); },
+						 .done = [this](const http_result& result, monotonic_time started)
+						 { handle_confirmation(result, started); }}},
+		  random_{seed}
 	{
 	}
 
@@ -47,8 +49,7 @@
 	{
 		const bool calling = counts_.listings > 0 && call_timer_ == 0;
 		connection_.set_server(store);
-		confirming_ = false;
-		confirmation_connection_.set_server(store);
+		confirmation_.set_server(store);
 		if (calling)
 		{
 			call();
@@ -93,49 +94,24 @@
 
 	void store_reader::confirm(monotonic_time time)
 	{
-		confirmation_wanted_ = std::max(confirmation_wanted_, time);
-		const bool watching = follower_.next == store_follower::step::watch && only_key_.empty();
-		if (!watching || follower_.unreachable || confirming_ || is_up_to_date_since(confirmation_wanted_))
-		{
-			return;
-		}
-		const auto due = confirmation_started_ + confirmation_interval;
-		if (loop_.now() >= due)
-		{
-			call_for_confirmation();
-			return;
-		}
-		if (confirmation_timer_ == 0)
-		{
-			confirmation_timer_ = loop_.call_at(due,
-												[this]
-												{
-													confirmation_timer_ = 0;
-													confirm(confirmation_wanted_);
-												});
-		}
+		confirmation_.request(time);
 	}
 
-	void store_reader::call_for_confirmation()
+	std::string store_reader::confirmation_target() const
 	{
-		confirming_ = true;
-		confirmation_started_ = loop_.now();
-		++counts_.watches;
-		++counts_.confirmations;
-		const auto wait = steering::min_watch_wait;
-		confirmation_connection_.get(platform::watch_target(group_, {}, follower_.revision.number, wait),
-									 steering::call_timeout + wait,
-									 [this](const http_result& result) { handle_confirmation(result); });
+		const bool watching = follower_.next == store_follower::step::watch && only_key_.empty();
+		return watching && !follower_.unreachable
+				   ? platform::watch_target(group_, {}, follower_.revision.number, steering::min_watch_wait)
+				   : std::string{};
 	}
 
-	void store_reader::handle_confirmation(const http_result& result)
+	void store_reader::handle_confirmation(const http_result& result, monotonic_time started)
 	{
-		confirming_ = false;
 		if (confirms_revision(result))
 		{
 			follower_.last_answer = loop_.now();
-			up_to_date_since_ = confirmation_started_;
-			confirm(confirmation_wanted_);
+			confirmation_.record_up_to_date(started);
+			confirmation_.resume();
 			if (answer_handler_)
 			{
 				answer_handler_();
@@ -145,7 +121,7 @@
 		// Taken for the answer of the pending watch, which may have been lost.
 		connection_.close();
 		loop_.cancel(std::exchange(call_timer_, 0));
-		call_started_ = confirmation_started_;
+		call_started_ = started;
 		handle_result(result);
 	}
 
@@ -156,17 +132,9 @@
 			   response.revision.era == follower_.revision.era;
 	}
 
-	void store_reader::abandon_confirmation()
-	{
-		if (std::exchange(confirming_, false))
-		{
-			confirmation_connection_.close();
-		}
-	}
-
 	bool store_reader::is_up_to_date_since(monotonic_time time) const noexcept
 	{
-		return up_to_date_since_ >= time;
+		return confirmation_.is_up_to_date_since(time);
 	}
 
 	void store_reader::call()
@@ -184,8 +152,7 @@
 
 	void store_reader::handle_result(const http_result& result)
 	{
-		// A confirmation in progress asks for the changes since a revision that this answer may replace.
-		abandon_confirmation();
+		confirmation_.abandon();
 		try
 		{
 			apply_result(result);
@@ -248,7 +215,7 @@
 		}
 		update_watch_scope();
 		call_when_due();
-		confirm(confirmation_wanted_);
+		confirmation_.resume();
 		if (answer_handler_)
 		{
 			answer_handler_();
@@ -346,7 +313,7 @@
 			finish_listing(follower_.listed_keys, follower_.revision);
 			follower_.listed_keys.clear();
 			// Changes since the first page are read by the next watch.
-			up_to_date_since_ = listing_started_;
+			confirmation_.record_up_to_date(listing_started_);
 		}
 	}
 
@@ -383,7 +350,7 @@
 		record_watch_answer(follower_, response.revision, changes, loop_.now());
 		if (only_key_.empty())
 		{
-			up_to_date_since_ = call_started_;
+			confirmation_.record_up_to_date(call_started_);
 		}
 	}
 
@@ -516,7 +483,7 @@
 		}
 		++counts_.failed;
 		connection_.close();
-		abandon_confirmation();
+		confirmation_.abandon();
 		record_failure(follower_, random_(), loop_.now());
 		call_when_due();
 	}
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -6,6 +6,7 @@
 
 #include "node/http_call.hpp"
 #include "node/node_log.hpp"
+#include "node/store_confirmation.hpp"
 #include "platform/store_format.hpp"
 
 #include <functional>
@@ -17,10 +18,9 @@
 	{
 		std::uint64_t listings = 0;
 		std::uint64_t watches = 0;
-		std::uint64_t changed = 0;       ///< Watches that were answered with changes.
-		std::uint64_t unchanged = 0;     ///< Watches that were answered without changes.
-		std::uint64_t failed = 0;        ///< Calls without a usable answer.
-		std::uint64_t confirmations = 0; ///< Those of `watches` that `confirm` made.
+		std::uint64_t changed = 0;   ///< Watches that were answered with changes.
+		std::uint64_t unchanged = 0; ///< Watches that were answered without changes.
+		std::uint64_t failed = 0;    ///< Calls without a usable answer.
 	};
 
 	/// Keeps a catalog up to date from one group of keys of the metadata store.
@@ -73,9 +73,8 @@
 		void apply_relayed(const http_result& result);
 
 		/// Makes the store answer a call that starts at `time` or later, so that `is_up_to_date_since(time)` soon
-		/// holds. The call is a watch with a short wait on a connection of its own; a change that it brings replaces
-		/// the pending watch. Such calls start at least `confirmation_interval` apart. Without effect while the store
-		/// is unreachable, and while the group is listed or only one of its keys is watched.
+		/// holds. A change that the answer brings replaces the pending watch. Waits while the store is unreachable, and
+		/// while the group is listed or only one of its keys is watched.
 		///
 		/// \param time	Not in the future.
 		void confirm(monotonic_time time);
@@ -90,7 +89,13 @@
 			return follower_;
 		}
 
-		/// Returns the numbers of calls to the store.
+		/// Returns the number of calls that `confirm` made, which `counts` leaves out.
+		[[nodiscard]] std::uint64_t confirmations() const noexcept
+		{
+			return confirmation_.calls();
+		}
+
+		/// Returns the numbers of calls to the store that list or follow the group.
 		[[nodiscard]] const store_call_counts& counts() const noexcept
 		{
 			return counts_;
@@ -100,12 +105,12 @@
 		void call_when_due();
 		void call();
 
-		void call_for_confirmation();
-		void handle_confirmation(const http_result& result);
+		/// Returns the target of a call for a confirmation; empty if none can be made now.
+		[[nodiscard]] std::string confirmation_target() const;
+		void handle_confirmation(const http_result& result, monotonic_time started);
 
 		/// Returns whether an answer shows that the known revision is still the newest one of the group.
 		[[nodiscard]] bool confirms_revision(const http_result& result) const;
-		void abandon_confirmation();
 		void handle_result(const http_result& result);
 		void apply_result(const http_result& result);
 		void apply_answer(const platform::store_response& response);
@@ -139,7 +144,7 @@
 		steering::catalog& catalog_;
 		steering::record_group group_;
 		http_connection connection_;
-		http_connection confirmation_connection_;
+		store_confirmation confirmation_;
 		std::function<steering::watch_scope()> watch_scope_selector_;
 		std::function<void()> answer_handler_;
 		std::string only_key_; ///< Key that is watched; empty for the whole group.
@@ -149,11 +154,6 @@
 		std::uint64_t call_timer_ = 0;               ///< Timer of the next call; 0 while a call is in progress.
 		monotonic_time call_started_;                ///< Start of the latest call.
 		monotonic_time listing_started_;             ///< Start of the call for the first page of the latest listing.
-		monotonic_time up_to_date_since_;            ///< Every change that the store had then is known.
-		monotonic_time confirmation_wanted_;         ///< Latest time for which `confirm` was called.
-		monotonic_time confirmation_started_;        ///< Start of the latest call for a confirmation.
-		std::uint64_t confirmation_timer_ = 0;       ///< Timer of the next confirmation; 0 if none is scheduled.
-		bool confirming_ = false;                    ///< A call for a confirmation is in progress.
 		store_call_counts counts_;
 		bool settled_listing_scheduled_ = false;
 	};
--- a/tests/search_runner_test.cpp
+++ b/tests/search_runner_test.cpp
@@ -162,7 +162,7 @@
 			run_until([this] { return resets.size() >= 20; });
 			EXPECT_EQ(resets.size(), 20U);
 			// At most one call for each 20 ms.
-			const auto confirmations = shared.upstreams_reader.counts().confirmations;
+			const auto confirmations = shared.upstreams_reader.confirmations();
 			EXPECT_LE(confirmations, static_cast<std::uint64_t>((shared.loop.now() - started) / 20ms) + 1);
 			EXPECT_EQ(std::ranges::count_if(store.calls, [](const auto& it) { return it.ends_with("wait_ms=1"); }),
 					  static_cast<std::ptrdiff_t>(confirmations));
