--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -105,7 +105,7 @@
 		upstream_gate gate;
 		bool knows_all_flows = false;   ///< This process has seen every flow that the upstream can hold.
 		monotonic_time watched_since{}; ///< Since then this process has seen every packet of its upstream's flows.
-		monotonic_time last_sweep{};    ///< Last call of `expire_idle`, or zero.
+		monotonic_time last_sweep{};    ///< Last call of `sweep_flows`, or zero.
 		bool upstream_is_older = false; ///< The upstream sent a packet of a flow from before this process started.
 		std::unordered_map<flow_id, agent_flow, flow_id_hash> flows;
 		std::size_t requests_in_progress = 0;       ///< Flows with a request in progress.
@@ -199,11 +199,12 @@
 	/// A process that did not run for this long may have missed packets of its flows. A sweep is due every second.
 	inline constexpr milliseconds longest_sweep_gap{3'000};
 
-	/// Removes idle flows and expired subscriptions. Call it once a second.
+	/// Updates `knows_all_flows` and removes idle flows and expired subscriptions. Call it once a second.
 	///
-	/// Sets `knows_all_flows` when this process has seen all packets of its upstream for longer than the idle timeout:
-	/// an unknown flow has then been idle for that long. Until then, only the upstream can deny a flow from before this
-	/// process started. Neither the age of the upstream's entry nor its start time shows that there is none: the entry
-	/// may have expired and returned, and clocks may be set back.
-	void expire_idle(agent_state& state, const catalog& known, monotonic_time now);
+	/// `knows_all_flows` is set when this process has seen all packets of its upstream for longer than the idle
+	/// timeout: an unknown flow has then been idle for that long. Until then, only the upstream can deny a flow from
+	/// before this process started. Neither the age of the upstream's entry nor its start time shows that there is
+	/// none: the entry may have expired and returned, and clocks may be set back. After a pause of the process nothing
+	/// is removed until the next sweep, since packets that arrived meanwhile have yet to be read.
+	void sweep_flows(agent_state& state, const catalog& known, monotonic_time now);
 }
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -534,7 +534,7 @@
 
 			void sweep()
 			{
-				expire_idle(state_, node_.catalog, node_.loop.now());
+				sweep_flows(state_, node_.catalog, node_.loop.now());
 				expire_former(node_.catalog, node_.loop.now());
 				node_.loop.call_at(node_.loop.now() + sweep_interval, [this] { sweep(); });
 			}
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -228,8 +228,9 @@
 			return flow.stage == flow_stage::open && !flow.caller_closed && !flow.upstream_closed;
 		}
 
-		/// Tells the balancers of a flow that it is not open at an upstream that has ended.
-		void give_back(connection_refused_decision& decision, agent_flow& flow, const flow_id& id)
+		/// Tells the balancers of a flow that never opened at an upstream that it is not open there: the upstream has
+		/// ended. An opening packet is returned to one of them.
+		void deny_unopened_flow(connection_refused_decision& decision, agent_flow& flow, const flow_id& id)
 		{
 			if (flow.last_balancer != ipv4{})
 			{
@@ -429,7 +430,7 @@
 			}
 			else
 			{
-				give_back(decision, flow, id);
+				deny_unopened_flow(decision, flow, id);
 			}
 		}
 		state.flows.clear();
@@ -544,20 +545,23 @@
 		return recipients;
 	}
 
-	void expire_idle(agent_state& state, const catalog& known, monotonic_time now)
+	void sweep_flows(agent_state& state, const catalog& known, monotonic_time now)
 	{
-		const auto idle_timeout =
-			idle_margin + (known.idle_timeout.count() > 0 ? known.idle_timeout : milliseconds{default_idle_timeout});
-		if (state.last_sweep != monotonic_time{} && now - state.last_sweep > longest_sweep_gap)
+		const bool paused = state.last_sweep != monotonic_time{} && now - state.last_sweep > longest_sweep_gap;
+		state.last_sweep = now;
+		if (paused)
 		{
 			state.watched_since = now;
+			return;
 		}
-		state.last_sweep = now;
-		state.knows_all_flows = state.knows_all_flows || now - state.watched_since > idle_timeout;
+		const auto idle_timeout =
+			known.idle_timeout.count() > 0 ? known.idle_timeout : milliseconds{default_idle_timeout};
+		const auto retention = idle_timeout + idle_margin;
+		state.knows_all_flows = state.knows_all_flows || now - state.watched_since > retention;
 		for (auto it = state.flows.begin(); it != state.flows.end();)
 		{
 			const auto idle_time = now - it->second.last_used;
-			if (idle_time > idle_timeout || (is_closed(it->second) && idle_time > closed_retention))
+			if (idle_time > retention || (is_closed(it->second) && idle_time > closed_retention))
 			{
 				set_request_in_progress(state, it->second, false);
 				it = state.flows.erase(it);
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -31,7 +31,7 @@
 			{
 				for (const auto end = now + time; now < end; now += 1s)
 				{
-					expire_idle(state, known, now);
+					sweep_flows(state, known, now);
 				}
 			}
 
@@ -387,7 +387,22 @@
 			EXPECT_EQ(presence(), flow_presence::not_held);
 		}
 
-		// Guards against denied flows whose packets arrived while the process was frozen.
+		// Guards against denied flows whose packets arrived while the process was frozen and have not been read yet.
+		TEST_F(steering_agent_flow_knowledge, keeps_idle_flow_until_the_sweep_after_a_pause)
+		{
+			known.idle_timeout = 15s;
+			state.knows_all_flows = true;
+			open_flow();
+			run_for(14s);
+			now += 5s;
+			sweep_flows(state, known, now);
+			EXPECT_EQ(presence(), flow_presence::held);
+			now += 1s;
+			sweep_flows(state, known, now);
+			EXPECT_EQ(presence(), flow_presence::not_held) << "no packet of the flow had arrived";
+		}
+
+		// Guards against denied flows whose packets were lost while the process was frozen.
 		TEST_F(steering_agent_flow_knowledge, starts_anew_after_a_pause_of_the_process)
 		{
 			known.idle_timeout = 15s;
