--- a/tests/known_revision_test.cpp
+++ b/tests/known_revision_test.cpp
@@ -135,6 +135,18 @@
 				loop.call_at(loop.now() + 500ms, [this, kind] { send_repeatedly(kind); });
 			}
 
+			/// Expects that the process reads the entries once more after it has heard of the revision for longer than
+			/// an answer takes.
+			void expect_entries_read_again(message_kind heard_in)
+			{
+				run_for(500ms);
+				send_repeatedly(heard_in);
+				run_for(1s);
+				EXPECT_EQ(short_watches, 0) << "the answer may still be on its way";
+				run_for(2'500ms);
+				EXPECT_EQ(short_watches, 1);
+			}
+
 			void run_for(std::chrono::milliseconds time)
 			{
 				loop.call_at(runtime::read_clock() + time, [this] { loop.stop(); });
@@ -147,12 +159,7 @@
 		TEST_F(known_revision_on_loopback, makes_an_agent_read_its_entry_again)
 		{
 			start(run_agent);
-			run_for(500ms);
-			send_repeatedly(message_kind::subscribe);
-			run_for(1s);
-			EXPECT_EQ(short_watches, 0) << "the answer may still be on its way";
-			run_for(2'500ms);
-			EXPECT_EQ(short_watches, 1);
+			expect_entries_read_again(message_kind::subscribe);
 			EXPECT_EQ(reported, changed) << "other balancers learn of the revision too";
 		}
 
@@ -161,12 +168,7 @@
 		TEST_F(known_revision_on_loopback, makes_a_balancer_read_the_entries_again)
 		{
 			start(run_balancer);
-			run_for(500ms);
-			send_repeatedly(message_kind::load);
-			run_for(1s);
-			EXPECT_EQ(short_watches, 0) << "the answer may still be on its way";
-			run_for(2'500ms);
-			EXPECT_EQ(short_watches, 1);
+			expect_entries_read_again(message_kind::load);
 		}
 	}
 }
