--- a/tests/unrouted_packets_test.cpp
+++ b/tests/unrouted_packets_test.cpp
@@ -92,7 +92,7 @@
 			EXPECT_EQ(steered.size(), 3U) << "confirmations that follow each other are delayed, not left out";
 		}
 
-		// Guards against resets on the word of a store that does not answer, and against unbounded memory meanwhile.
+		// Guards against resets while the store does not answer, and against unbounded memory meanwhile.
 		TEST_F(unrouted_packets_on_loopback, are_dropped_while_the_store_is_silent)
 		{
 			store_answers = false;
