Log how far the records may be behind the store

The gauge nutmegturn_config_age_milliseconds shows the same; it was the time since the last answer, which may itself have been held for 10 s.

--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -435,6 +435,8 @@
 								 {"entry", own == nullptr ? "unknown" : own->key},
 								 {"entry_age_ms", own == nullptr ? "unknown" : age_ms(own->changed_at, now)},
 								 {"store_answer_age_ms", age_ms(node_.upstreams_reader.state().last_answer, now)},
+								 {"upstreams_age_ms", node_.records_age_ms(node_.upstreams_reader)},
+								 {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
 								 {"version", std::to_string(node_.catalog.version)}});
 			}
 
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -284,6 +284,7 @@
 								 {"at_work", std::to_string(load.report.requests_in_progress)},
 								 {"failing_percent", std::to_string(load.report.failure_percent)},
 								 {"load_age_ms", reported ? std::to_string(age.count()) : "unknown"},
+								 {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
 								 {"version", std::to_string(node_.catalog.version)}});
 			}
 
@@ -293,6 +294,7 @@
 				node_.log.write(level, event, std::move(text),
 								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
 								 {"reason", std::string{why}},
+								 {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
 								 {"version", std::to_string(node_.catalog.version)}});
 			}
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -180,9 +180,19 @@
 		return server.listen(to_endpoint(settings.readiness));
 	}
 
+	std::string node::records_age_ms(const store_reader& reader) const
+	{
+		if (reader.known_as_of() == monotonic_time{})
+		{
+			return "unknown";
+		}
+		const auto age = loop.now() - reader.known_as_of();
+		return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
+	}
+
 	std::string node::metrics_text()
 	{
-		const auto age = loop.now() - orders_reader.state().last_answer;
+		const auto age = loop.now() - orders_reader.known_as_of();
 		metrics.set(gauge::config_revision, static_cast<std::int64_t>(catalog.version));
 		metrics.set(gauge::config_age_milliseconds, std::chrono::duration_cast<std::chrono::milliseconds>(age).count());
 		metrics.set(gauge::view_current, configuration_current() ? 1 : 0);
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -59,6 +59,9 @@
 		/// Returns the metrics in the Prometheus text format.
 		[[nodiscard]] std::string metrics_text();
 
+		/// Returns the time in milliseconds, for logs, for which a reader's records may be behind the store.
+		[[nodiscard]] std::string records_age_ms(const store_reader& reader) const;
+
 		/// Returns whether the configuration and all records of the store have been read at least once.
 		[[nodiscard]] bool loaded() const noexcept;
 
--- a/src/node/store_confirmation.hpp
+++ b/src/node/store_confirmation.hpp
@@ -53,6 +53,12 @@
 			return up_to_date_since_ >= time;
 		}
 
+		/// Returns the time as of which every change is known, or zero.
+		[[nodiscard]] monotonic_time up_to_date_since() const noexcept
+		{
+			return up_to_date_since_;
+		}
+
 		/// Returns the number of calls.
 		[[nodiscard]] std::uint64_t calls() const noexcept
 		{
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -83,6 +83,13 @@
 		/// started at that time or later. A pending call is no answer, since its connection may have been lost.
 		[[nodiscard]] bool is_up_to_date_since(monotonic_time time) const noexcept;
 
+		/// Returns the time as of which every change is known, or zero. The time since then says how far the group's
+		/// records may be behind the store.
+		[[nodiscard]] monotonic_time known_as_of() const noexcept
+		{
+			return confirmation_.up_to_date_since();
+		}
+
 		/// Returns the state of listing and watching the group.
 		[[nodiscard]] const steering::store_follower& state() const noexcept
 		{
