Bound how long a process can be behind without noticing

Cause: a pending watch counted as "no change". After answers are lost or open connections go silent it stays pending for up to 11.2 s (balancers) or 31.2 s (agents). The last change had made all processes start their watches at the same time, so all are behind together and nobody's messages name the newer revision. Keep-alive probes find it only where nothing acknowledges them.

Change: a process knows as of which time the store confirmed its records. When they are 1.7 to 2.2 s old (balancers; agents 2.3 to 2.5 s), it makes one short call on a new connection, whose answer brings what was missed. What the store confirmed travels in the messages that are sent anyway, as "no change above revision R as of A ms ago"; a process that knows all up to R is then current without a call. A balancer that asked tells all agents at once, and two of them tell the other balancers. Evidence is passed on once only, never in a circle, and does not replace the store's own answer before flows are reset. Opening packets of unknown routes are reset only while the configuration is at most 2.8 s old; it was 11.2 s. Since a confirmation finds what a watch missed, all watches now wait for 30 s; balancers' waited for 10 s.

Conclusion: silence no longer counts as "no change" for any of the facts with a bound. The bound is kept by each process alone; others only spare it the call.

--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegturn/steering/catalog.hpp"
+#include "nutmegturn/steering/record_evidence.hpp"
 #include "nutmegturn/steering/segment.hpp"
 
 #include <array>
@@ -89,8 +90,7 @@
 		/// `open`, `flow_packet`, `probe`, `declined`, `not_held`: the caller's packet.
 		/// `held_flows`, `query`: encoded flows. `query_reply`: encoded answers.
 		/// `probe_relay`: the agents to probe and the caller's packet.
-		/// `subscribe`, `load`: encoded revision of the entry of the agent's upstream, the newest that the sender
-		/// knows.
+		/// `subscribe`, `load`: encoded `store_knowledge`.
 		std::span<const std::byte> packet;
 	};
 
@@ -151,14 +151,26 @@
 	/// Decodes the payload of a `probe_relay` message. Has no agents if the list is truncated.
 	[[nodiscard]] probe_relay_request decode_probe_relay(std::span<const std::byte> bytes);
 
-	/// Size of an encoded revision, in bytes.
-	inline constexpr std::size_t encoded_revision_size = 8;
+	/// What the sender of a `subscribe` or `load` message knows of the metadata store.
+	struct store_knowledge
+	{
+		store_revision entry; ///< Newest known revision of the entry of the agent's upstream, or zero.
+		record_evidence orders;
+		record_evidence upstreams; ///< Of the whole group.
+		bool pass_on = false;      ///< `subscribe`: the agent is to tell the other balancers at once.
+	};
+
+	/// Size of encoded knowledge, in bytes.
+	inline constexpr std::size_t encoded_knowledge_size = 29;
 
-	/// Encodes the revision of an entry for a `subscribe` or `load` message.
-	[[nodiscard]] std::array<std::byte, encoded_revision_size> encode_revision(const store_revision& revision) noexcept;
+	/// Encodes knowledge. Times are sent as ages, since processes share no clock. Evidence that is older than a minute
+	/// or whose revision is too large for the field is left out.
+	[[nodiscard]] std::array<std::byte, encoded_knowledge_size> encode_knowledge(const store_knowledge& knowledge,
+																				 monotonic_time now) noexcept;
 
-	/// Decodes the revision of an entry. A message without one decodes to zero.
-	[[nodiscard]] store_revision decode_revision(std::span<const std::byte> bytes) noexcept;
+	/// Decodes knowledge. What the message lacks decodes to zero; processes of earlier releases send the entry's
+	/// revision only. The times are late by the time that the message took.
+	[[nodiscard]] store_knowledge decode_knowledge(std::span<const std::byte> bytes, monotonic_time now) noexcept;
 
 	/// Returns the key of an availability zone.
 	[[nodiscard]] std::uint32_t key_of_zone(std::string_view name) noexcept;
--- a/include/nutmegturn/steering/store_follower.hpp
+++ b/include/nutmegturn/steering/store_follower.hpp
@@ -11,16 +11,9 @@
 
 namespace nutmegturn::steering
 {
-	/// \name Longest time for which the store may hold a watch without a change
-	/// Dead connections are detected by keep-alive, and a store that answers others by `is_answer_overdue`.
-	/// @{
-
-	inline constexpr std::chrono::milliseconds balancer_watch_wait{10'000};
-
-	/// For agents, which are many, have few changes to wait for and learn of newer orders from balancers. The longest
-	/// time that the store allows.
-	inline constexpr std::chrono::milliseconds agent_watch_wait{30'000};
-	/// @}
+	/// Time for which the store may hold a watch without a change, the longest that it allows. A watch whose answer was
+	/// lost is found out by confirmations.
+	inline constexpr std::chrono::milliseconds watch_wait{30'000};
 
 	/// Shortest time for which the store may hold a watch.
 	inline constexpr std::chrono::milliseconds min_watch_wait{1};
@@ -75,11 +68,10 @@
 		step next = step::list;
 		std::chrono::milliseconds coalescing_delay = balancer_coalescing_delay;
 		std::chrono::milliseconds minor_change_delay{0}; ///< Replaces a shorter `coalescing_delay` after minor changes.
-		std::chrono::milliseconds watch_wait = balancer_watch_wait;
-		std::string last_key;               ///< Last key of the previous page; empty for the first page.
-		std::set<std::string> listed_keys;  ///< Keys in the listing so far.
-		std::optional<std::uint64_t> era;   ///< Era of the answers so far.
-		store_revision revision;            ///< All changes up to this revision are known.
+		std::string last_key;                            ///< Last key of the previous page; empty for the first page.
+		std::set<std::string> listed_keys;               ///< Keys in the listing so far.
+		std::optional<std::uint64_t> era;                ///< Era of the answers so far.
+		store_revision revision;                         ///< All changes up to this revision are known.
 		store_revision first_page_revision; ///< Revision of the first page; the pages are not a consistent snapshot.
 		std::optional<store_revision> first_listing; ///< Revision of the first complete listing.
 		bool listed_once = false;                    ///< A complete listing has been read.
@@ -160,6 +152,8 @@
 	/// Returns whether missing entries may be registered again, because the store is or was recently unreachable.
 	[[nodiscard]] bool is_settling(const store_follower& follower, monotonic_time now) noexcept;
 
-	/// Returns whether the store answered recently enough that no change can have been missed.
-	[[nodiscard]] bool is_current(const store_follower& follower, monotonic_time now) noexcept;
+	/// Returns whether the store answers and confirmed recently enough that no change was missed.
+	/// \param known_as_of	Every change that the store had then is known.
+	[[nodiscard]] bool is_current(const store_follower& follower, monotonic_time known_as_of,
+								  monotonic_time now) noexcept;
 }
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -300,16 +300,37 @@
 			void handle_subscribe(const message& msg, ipv4 balancer)
 			{
 				const bool is_new = !state_.balancers.contains(balancer);
-				const auto entry_revision = steering::decode_revision(msg.packet);
-				newest_entry_revision_ = std::max(newest_entry_revision_, entry_revision);
-				node_.upstreams_reader.handle_known_revision(entry_revision);
+				const auto knowledge = steering::decode_knowledge(msg.packet, node_.loop.now());
+				newest_entry_revision_ = std::max(newest_entry_revision_, knowledge.entry);
+				node_.upstreams_reader.handle_known_revision(knowledge.entry);
+				node_.handle_knowledge(knowledge);
+				if (knowledge.upstreams.as_of > heard_of_upstreams_.as_of)
+				{
+					heard_of_upstreams_ = knowledge.upstreams;
+				}
 				send_held_flows(handle_subscription(state_, msg, balancer, node_.loop.now()));
+				if (knowledge.pass_on)
+				{
+					send_load_to_all_but(balancer);
+				}
 				if (is_new || msg.just_started)
 				{
 					send_load(balancer, make_load_report(state_, node_.catalog, node_.loop.now()));
 				}
 			}
 
+			void send_load_to_all_but(ipv4 excluded)
+			{
+				const auto report = make_load_report(state_, node_.catalog, node_.loop.now());
+				for (const auto& [balancer, heard] : state_.balancers)
+				{
+					if (balancer != excluded)
+					{
+						send_load(balancer, report);
+					}
+				}
+			}
+
 			void handle_query(const message& query, ipv4 balancer)
 			{
 				const auto answers = answer_query(state_, steering::decode_flows(query.packet));
@@ -478,8 +499,9 @@
 				to_callers_->add(to_endpoint({.ip = caller, .port = node_.settings.caller_packets.port}), bytes);
 			}
 
-			/// Sends a load report with the newest known revision of the upstream's entry. A balancer whose watch lost
-			/// the answer that told of that revision reads the entries again.
+			/// Sends a load report with the newest known revision of the upstream's entry, and passes on what balancers
+			/// told of the store. A balancer whose watch lost the answer that told of that revision reads the entries
+			/// again.
 			void send_load(ipv4 balancer, const steering::load_report& report)
 			{
 				const auto* own = own_upstream(state_.gate, node_.catalog);
@@ -487,7 +509,14 @@
 				{
 					newest_entry_revision_ = std::max(newest_entry_revision_, node_.catalog.revisions.at(own->key));
 				}
-				send(balancer, message_kind::load, {}, report, steering::encode_revision(newest_entry_revision_));
+				const auto own_evidence = node_.orders_reader.own_evidence();
+				const auto& heard = node_.orders_reader.heard_evidence();
+				const steering::store_knowledge knowledge{.entry = newest_entry_revision_,
+														  .orders =
+															  heard.as_of > own_evidence.as_of ? heard : own_evidence,
+														  .upstreams = heard_of_upstreams_,
+														  .pass_on = false};
+				send(balancer, message_kind::load, {}, report, encode_knowledge(knowledge, node_.loop.now()));
 			}
 
 			void send(ipv4 balancer, message_kind kind, const steering::flow_id& flow,
@@ -586,6 +615,7 @@
 			std::optional<runtime::send_batch> to_upstream_;
 			bool queue_check_scheduled_ = false;
 			steering::store_revision newest_entry_revision_; ///< Of the own upstream, according to any process.
+			steering::record_evidence heard_of_upstreams_;   ///< Latest evidence of a balancer, of the whole group.
 		};
 	}
 
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -43,6 +43,9 @@
 		/// later than the balancer.
 		constexpr auto subscribe_retry_interval = 100ms;
 
+		/// Agents that pass on to other balancers what the store has confirmed. More than one, since one may be down.
+		constexpr std::size_t agents_passing_on = 2;
+
 		/// Time that a new balancer waits for the flows of its zone before it reports that it is ready for packets of
 		/// callers.
 		constexpr auto learning_time = 150ms;
@@ -67,9 +70,20 @@
 			{
 				state_.zone = settings.zone;
 				state_.started = node_.loop.now();
+				node_.confirmation_ages = steering::balancer_confirmation_ages;
 				node_.upstreams_reader.use_balancer_intervals();
-				node_.upstreams_reader.set_answer_handler([this] { searches_.on_store_answer(); });
-				node_.orders_reader.set_answer_handler([this] { unrouted_.on_store_answer(); });
+				node_.upstreams_reader.set_answer_handler(
+					[this]
+					{
+						searches_.on_store_answer();
+						tell_confirmed_records();
+					});
+				node_.orders_reader.set_answer_handler(
+					[this]
+					{
+						unrouted_.on_store_answer();
+						tell_confirmed_records();
+					});
 			}
 
 			/// Opens the sockets.
@@ -172,7 +186,9 @@
 			{
 				if (msg.kind == message_kind::load)
 				{
-					node_.upstreams_reader.handle_known_revision(steering::decode_revision(msg.packet));
+					const auto knowledge = steering::decode_knowledge(msg.packet, node_.loop.now());
+					node_.upstreams_reader.handle_known_revision(knowledge.entry);
+					node_.handle_knowledge(knowledge);
 				}
 				const bool stops = msg.load.admission == steering::admission_status::stopping ||
 								   msg.load.admission == steering::admission_status::drained;
@@ -336,20 +352,47 @@
 				}
 			}
 
-			void subscribe_to_agents()
+			/// Tells the agents at once what the store has just confirmed, so that neither they nor the balancers to
+			/// which they pass it on ask the store too.
+			void tell_confirmed_records()
+			{
+				if (first_subscribe_ && node_.take_confirmed())
+				{
+					send_subscriptions(agents_passing_on);
+				}
+			}
+
+			/// \param passing_on	Number of agents that are to tell the other balancers at once.
+			void send_subscriptions(std::size_t passing_on)
 			{
 				message msg;
 				msg.version = node_.catalog.version;
 				msg.orders_revision = node_.catalog.orders_revision;
 				msg.zone = steering::key_of_zone(node_.settings.zone);
 				msg.just_started = !first_subscribe_;
+				steering::store_knowledge knowledge{.entry = {},
+													.orders = node_.orders_reader.own_evidence(),
+													.upstreams = node_.upstreams_reader.own_evidence(),
+													.pass_on = false};
+				const auto n = node_.catalog.upstreams.size();
+				const auto first = n == 0 ? 0 : next_passing_on_ % n;
+				next_passing_on_ += passing_on;
+				std::size_t index = 0;
 				for (const auto& [key, upstream] : node_.catalog.upstreams)
 				{
+					knowledge.pass_on = (index++ + n - first) % n < passing_on;
 					// The agent does not watch the entries of former upstreams at its address.
-					const auto revision = steering::encode_revision(node_.catalog.revisions.at(key));
-					msg.packet = upstream.superseded ? std::span<const std::byte>{} : revision;
+					knowledge.entry =
+						upstream.superseded ? steering::store_revision{} : node_.catalog.revisions.at(key);
+					const auto encoded = encode_knowledge(knowledge, node_.loop.now());
+					msg.packet = encoded;
 					send(upstream.entry.address.ip, msg);
 				}
+			}
+
+			void subscribe_to_agents()
+			{
+				send_subscriptions(0);
 				schedule_subscribe_retry();
 				expire_idle_flows(state_, node_.loop.now());
 				searches_.expire();
@@ -440,6 +483,7 @@
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_peers_;
 			std::optional<monotonic_time> first_subscribe_; ///< Time of the first `subscribe` messages to the agents.
+			std::size_t next_passing_on_ = 0;               ///< Position of the agent that passes on next.
 			bool subscribe_retry_scheduled_ = false;
 			bool stopping_ = false;
 			monotonic_time stop_requested_;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <filesystem>
 
@@ -22,6 +23,9 @@
 
 		constexpr std::chrono::milliseconds relay_timeout{400};
 
+		/// Shortest time between two checks of the records' age.
+		constexpr std::chrono::milliseconds min_confirmation_interval{200};
+
 		/// Interval of checks for a settings file that changed without a signal.
 		constexpr std::chrono::seconds settings_check_interval{5};
 
@@ -68,7 +72,7 @@
 			  loop, log, catalog, to_endpoint(initial.store), record_group::operator_orders, process_seed(initial)},
 		  upstreams_reader{
 			  loop, log, catalog, to_endpoint(initial.store), record_group::upstreams, process_seed(initial) + 1},
-		  file{std::move(source)}, file_modified_at{modification_time(file.path)}
+		  file{std::move(source)}, file_modified_at{modification_time(file.path)}, random_{process_seed(initial) + 2}
 	{
 	}
 
@@ -83,9 +87,65 @@
 			});
 		orders_reader.start();
 		upstreams_reader.start();
+		confirmation_age_ = draw_confirmation_age(confirmation_ages, random_());
+		confirm_due_records();
 		loop.call_at(loop.now() + settings_check_interval, [this] { watch_settings(); });
 	}
 
+	void node::confirm_due_records()
+	{
+		const auto now = loop.now();
+		const std::array readers{&orders_reader, &upstreams_reader};
+		const auto is_due = [now](const store_reader* it, std::chrono::milliseconds age)
+		{ return it->known_as_of() != monotonic_time{} && it->confirmation_due(age) <= now; };
+		if (std::ranges::any_of(readers, [&](const auto* it) { return is_due(it, confirmation_age_); }))
+		{
+			confirmation_asked_at_ = now;
+			asked_readers_.clear();
+			for (auto* it : readers)
+			{
+				// Both groups are confirmed together if possible, so that one message tells others of both.
+				if (is_due(it, confirmation_ages.shortest))
+				{
+					asked_readers_.push_back(it);
+					it->confirm(now);
+				}
+			}
+			confirmation_age_ = draw_confirmation_age(confirmation_ages, random_());
+		}
+		auto next = now + confirmation_age_;
+		for (const auto* it : readers)
+		{
+			next = std::min(next, it->confirmation_due(confirmation_age_));
+		}
+		loop.call_at(std::max(next, now + min_confirmation_interval), [this] { confirm_due_records(); });
+	}
+
+	bool node::take_confirmed() noexcept
+	{
+		const bool confirmed =
+			!asked_readers_.empty() && std::ranges::all_of(asked_readers_, [this](const auto* it)
+														   { return it->is_up_to_date_since(confirmation_asked_at_); });
+		if (confirmed)
+		{
+			asked_readers_.clear();
+		}
+		return confirmed;
+	}
+
+	void node::handle_knowledge(const steering::store_knowledge& knowledge) noexcept
+	{
+		orders_reader.apply_evidence(knowledge.orders);
+		if (!upstreams_reader.watches_one_key())
+		{
+			upstreams_reader.apply_evidence(knowledge.upstreams);
+		}
+		else if (knowledge.entry != steering::store_revision{})
+		{
+			upstreams_reader.apply_evidence({.newest = knowledge.entry, .as_of = knowledge.upstreams.as_of});
+		}
+	}
+
 	void node::watch_settings()
 	{
 		if (modification_time(file.path) != file_modified_at)
@@ -212,13 +272,14 @@
 
 	bool node::configuration_current() const noexcept
 	{
-		return catalog.version != 0 && is_current(orders_reader.state(), loop.now());
+		return catalog.version != 0 && is_current(orders_reader.state(), orders_reader.known_as_of(), loop.now());
 	}
 
 	bool node::upstreams_complete() const noexcept
 	{
-		return loaded() && is_current(upstreams_reader.state(), loop.now()) &&
-			   !is_settling(upstreams_reader.state(), loop.now());
+		const auto& state = upstreams_reader.state();
+		return loaded() && is_current(state, upstreams_reader.known_as_of(), loop.now()) &&
+			   !is_settling(state, loop.now());
 	}
 
 	std::uint64_t process_seed(const steering::node_settings& settings) noexcept
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -8,6 +8,7 @@
 #include "node/store_reader.hpp"
 
 #include <memory>
+#include <vector>
 
 namespace nutmegturn::node
 {
@@ -52,6 +53,13 @@
 		/// \param balancer	Balancer that knows all upstream entries, or zero.
 		void handle_reported_orders(steering::ipv4 instance, const steering::message& msg, steering::ipv4 balancer);
 
+		/// Handles what another process knows of the store. An agent that watches only its upstream's entry compares
+		/// the entry's revision instead of the group's.
+		void handle_knowledge(const steering::store_knowledge& knowledge) noexcept;
+
+		/// Returns whether the store has confirmed all records that were due for it; once for each time.
+		[[nodiscard]] bool take_confirmed() noexcept;
+
 		/// Makes the status server listen. Failure to serve metrics on `metrics_port` is only logged.
 		/// \returns	An empty string, or the reason why the readiness check cannot be served.
 		[[nodiscard]] std::string listen(status_server& server) const;
@@ -88,8 +96,16 @@
 		std::uint64_t handler_exceptions = 0; ///< Messages that were dropped because handling them threw.
 		settings_file file;
 		std::int64_t file_modified_at = 0; ///< Modification time of the settings file, in nanoseconds.
+		steering::confirmation_ages confirmation_ages = steering::agent_confirmation_ages;
 
 	private:
+		/// Asks the store whether a change was missed as soon as the records of a reader may be too old.
+		void confirm_due_records();
+
+		random_source random_;
+		std::chrono::milliseconds confirmation_age_{0};  ///< Age at which to ask next.
+		monotonic_time confirmation_asked_at_;           ///< When the store was asked last.
+		std::vector<const store_reader*> asked_readers_; ///< Readers that asked then; empty after `take_confirmed`.
 		void watch_settings();
 		void fetch_records(steering::ipv4 instance, std::unique_ptr<http_connection>& connection, std::string_view path,
 						   store_reader& reader);
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -8,6 +8,9 @@
 
 	namespace
 	{
+		/// Time in which the store usually answers a call that finds changes.
+		constexpr std::chrono::milliseconds answer_time{100};
+
 		[[nodiscard]] platform::store_response decode(const http_result& result)
 		{
 			const auto era =
@@ -99,17 +102,19 @@
 
 	std::string store_reader::confirmation_target() const
 	{
-		const bool watching = follower_.next == store_follower::step::watch && only_key_.empty();
+		const bool watching = follower_.next == store_follower::step::watch;
 		return watching && !follower_.unreachable
-				   ? platform::watch_target(group_, {}, follower_.revision.number, steering::min_watch_wait)
+				   ? platform::watch_target(group_, only_key_, follower_.revision.number, steering::min_watch_wait)
 				   : std::string{};
 	}
 
 	void store_reader::handle_confirmation(const http_result& result, monotonic_time started)
 	{
-		if (confirms_revision(result))
+		const auto response = decode(result);
+		if (confirms_revision(response))
 		{
 			follower_.last_answer = loop_.now();
+			follower_.revision = std::max(follower_.revision, response.revision);
 			confirmation_.record_up_to_date(started);
 			confirmation_.resume();
 			if (answer_handler_)
@@ -125,9 +130,8 @@
 		handle_result(result);
 	}
 
-	bool store_reader::confirms_revision(const http_result& result) const
+	bool store_reader::confirms_revision(const platform::store_response& response) const
 	{
-		const auto response = decode(result);
 		return response.result == platform::store_response::outcome::complete && response.records.empty() &&
 			   response.revision.era == follower_.revision.era;
 	}
@@ -137,6 +141,20 @@
 		return confirmation_.is_up_to_date_since(time);
 	}
 
+	void store_reader::apply_evidence(const steering::record_evidence& heard) noexcept
+	{
+		if (is_confirmed_by(follower_.revision, heard) && heard.as_of > heard_.as_of)
+		{
+			heard_ = heard;
+		}
+	}
+
+	monotonic_time store_reader::confirmation_due(std::chrono::milliseconds age) const noexcept
+	{
+		const auto due = known_as_of() + age;
+		return call_timer_ == 0 ? due : std::max(due, follower_.next_call_at + answer_time);
+	}
+
 	void store_reader::call()
 	{
 		call_timer_ = 0;
@@ -304,6 +322,7 @@
 		for (const auto& record : response.records)
 		{
 			apply(record);
+			record_newest(record.revision);
 			follower_.listed_keys.insert(record.key);
 			last_key = record.key;
 		}
@@ -312,6 +331,8 @@
 		{
 			finish_listing(follower_.listed_keys, follower_.revision);
 			follower_.listed_keys.clear();
+			// The listing does not show removals, the last of which may be as recent as the listing itself.
+			record_newest(follower_.revision);
 			// Changes since the first page are read by the next watch.
 			confirmation_.record_up_to_date(listing_started_);
 		}
@@ -344,6 +365,7 @@
 		for (const auto& record : response.records)
 		{
 			apply(record);
+			record_newest(record.revision);
 		}
 		++(response.records.empty() ? counts_.unchanged : counts_.changed);
 		const steering::watch_changes changes{.changed = response.records.size(), .known = encoded_.size()};
@@ -354,6 +376,11 @@
 		}
 	}
 
+	void store_reader::record_newest(const steering::store_revision& revision) noexcept
+	{
+		newest_ = std::max(newest_, revision);
+	}
+
 	void store_reader::apply(const steering::store_record& record)
 	{
 		const auto effect = apply_record(catalog_, group_, record, loop_.now());
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -2,6 +2,7 @@
 
 #include "nutmegturn/random.hpp"
 #include "nutmegturn/steering/catalog.hpp"
+#include "nutmegturn/steering/record_evidence.hpp"
 #include "nutmegturn/steering/store_follower.hpp"
 
 #include "node/http_call.hpp"
@@ -40,7 +41,6 @@
 		{
 			follower_.coalescing_delay = steering::agent_coalescing_delay;
 			follower_.minor_change_delay = steering::agent_coalescing_delay;
-			follower_.watch_wait = steering::agent_watch_wait;
 		}
 
 		/// Reads less often while only few of the group's records change, as `record_watch_answer` describes.
@@ -74,7 +74,7 @@
 
 		/// Makes the store answer a call that starts at `time` or later, so that `is_up_to_date_since(time)` soon
 		/// holds. A change that the answer brings replaces the pending watch. Waits while the store is unreachable, and
-		/// while the group is listed or only one of its keys is watched.
+		/// while the group is listed. Concerns the watched key if only one is watched.
 		///
 		/// \param time	Not in the future.
 		void confirm(monotonic_time time);
@@ -83,11 +83,38 @@
 		/// started at that time or later. A pending call is no answer, since its connection may have been lost.
 		[[nodiscard]] bool is_up_to_date_since(monotonic_time time) const noexcept;
 
-		/// Returns the time as of which every change is known, or zero. The time since then says how far the group's
-		/// records may be behind the store.
+		/// Returns the time as of which every change is known by the store's answers or by what other processes told,
+		/// or zero. The time since then says how far the group's records may be behind the store.
 		[[nodiscard]] monotonic_time known_as_of() const noexcept
 		{
-			return confirmation_.up_to_date_since();
+			return std::max(confirmation_.up_to_date_since(), heard_.as_of);
+		}
+
+		/// Returns what the store's answers to this process tell about the group. Evidence of others is left out:
+		/// passed on in a circle, it would never age, as each message makes it a little younger.
+		[[nodiscard]] steering::record_evidence own_evidence() const noexcept
+		{
+			return {.newest = newest_, .as_of = confirmation_.up_to_date_since()};
+		}
+
+		/// Returns the latest evidence of another process that confirmed this one's records.
+		[[nodiscard]] const steering::record_evidence& heard_evidence() const noexcept
+		{
+			return heard_;
+		}
+
+		/// Handles evidence of another process.
+		void apply_evidence(const steering::record_evidence& heard) noexcept;
+
+		/// Returns the time at which the store is to be asked whether a change was missed. While a call waits for its
+		/// time, that call comes first.
+		/// \param age	Age of the records at which to ask.
+		[[nodiscard]] monotonic_time confirmation_due(std::chrono::milliseconds age) const noexcept;
+
+		/// Returns whether only one key of the group is watched.
+		[[nodiscard]] bool watches_one_key() const noexcept
+		{
+			return !only_key_.empty();
 		}
 
 		/// Returns the state of listing and watching the group.
@@ -117,7 +144,7 @@
 		void handle_confirmation(const http_result& result, monotonic_time started);
 
 		/// Returns whether an answer shows that the known revision is still the newest one of the group.
-		[[nodiscard]] bool confirms_revision(const http_result& result) const;
+		[[nodiscard]] bool confirms_revision(const platform::store_response& response) const;
 		void handle_result(const http_result& result);
 		void apply_result(const http_result& result);
 		void apply_answer(const platform::store_response& response);
@@ -138,6 +165,7 @@
 		void log_service_limits();
 		void handle_failure(const std::string& reason);
 		void update_watch_scope();
+		void record_newest(const steering::store_revision& revision) noexcept;
 		void apply(const steering::store_record& record);
 		void enter_era(const steering::store_revision& revision);
 		void log_ignored(const steering::store_record& record) const;
@@ -161,6 +189,8 @@
 		std::uint64_t call_timer_ = 0;               ///< Timer of the next call; 0 while a call is in progress.
 		monotonic_time call_started_;                ///< Start of the latest call.
 		monotonic_time listing_started_;             ///< Start of the call for the first page of the latest listing.
+		steering::store_revision newest_;            ///< No known change of the group has a higher revision.
+		steering::record_evidence heard_;
 		store_call_counts counts_;
 		bool settled_listing_scheduled_ = false;
 	};
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -77,6 +77,27 @@
 			return {.era = packed >> number_bits, .number = packed & max_number};
 		}
 
+		constexpr std::size_t encoded_revision_size = 8;
+
+		/// Age of evidence that says nothing.
+		constexpr std::uint16_t no_evidence = std::numeric_limits<std::uint16_t>::max();
+
+		void put_evidence(writer& to, const record_evidence& evidence, monotonic_time now) noexcept
+		{
+			const auto age = std::chrono::ceil<milliseconds>(now - evidence.as_of).count();
+			const bool sent = evidence.as_of != monotonic_time{} && age >= 0 && age < no_evidence &&
+							  evidence.newest.number < max_number && evidence.newest.era < max_era;
+			to.put(pack_revision(evidence.newest));
+			to.put(sent ? static_cast<std::uint16_t>(age) : no_evidence);
+		}
+
+		[[nodiscard]] record_evidence take_evidence(reader& in, monotonic_time now) noexcept
+		{
+			const auto newest = unpack_revision(in.take<std::uint64_t>());
+			const auto age = in.take<std::uint16_t>();
+			return age == no_evidence ? record_evidence{} : record_evidence{newest, now - milliseconds{age}};
+		}
+
 		constexpr std::size_t load_fields_size = 12; ///< Includes `other_balancer`.
 
 		[[nodiscard]] bool comes_from_agent(message_kind kind) noexcept
@@ -176,18 +197,33 @@
 		return flows;
 	}
 
-	std::array<std::byte, encoded_revision_size> encode_revision(const store_revision& revision) noexcept
+	std::array<std::byte, encoded_knowledge_size> encode_knowledge(const store_knowledge& knowledge,
+																   monotonic_time now) noexcept
 	{
-		std::array<std::byte, encoded_revision_size> bytes{};
+		std::array<std::byte, encoded_knowledge_size> bytes{};
 		writer to{.out = bytes};
-		to.put(pack_revision(revision));
+		to.put(pack_revision(knowledge.entry));
+		put_evidence(to, knowledge.orders, now);
+		put_evidence(to, knowledge.upstreams, now);
+		to.put(static_cast<std::uint8_t>(knowledge.pass_on));
 		return bytes;
 	}
 
-	store_revision decode_revision(std::span<const std::byte> bytes) noexcept
+	store_knowledge decode_knowledge(std::span<const std::byte> bytes, monotonic_time now) noexcept
 	{
+		store_knowledge knowledge;
 		reader in{.in = bytes};
-		return bytes.size() < encoded_revision_size ? store_revision{} : unpack_revision(in.take<std::uint64_t>());
+		if (bytes.size() >= encoded_revision_size)
+		{
+			knowledge.entry = unpack_revision(in.take<std::uint64_t>());
+		}
+		if (bytes.size() >= encoded_knowledge_size)
+		{
+			knowledge.orders = take_evidence(in, now);
+			knowledge.upstreams = take_evidence(in, now);
+			knowledge.pass_on = in.take<std::uint8_t>() != 0;
+		}
+		return knowledge;
 	}
 
 	std::vector<std::byte> encode_probe_relay(std::span<const ipv4> agents, std::span<const std::byte> packet)
--- a/src/steering/store_follower.cpp
+++ b/src/steering/store_follower.cpp
@@ -1,5 +1,7 @@
 #include "nutmegturn/steering/store_follower.hpp"
 
+#include "nutmegturn/steering/record_evidence.hpp"
+
 #include <algorithm>
 
 namespace nutmegturn::steering
@@ -88,7 +90,7 @@
 
 	std::chrono::milliseconds next_watch_wait(const store_follower& follower) noexcept
 	{
-		return follower.unreachable ? min_watch_wait : follower.watch_wait;
+		return follower.unreachable ? min_watch_wait : watch_wait;
 	}
 
 	void list_again(store_follower& follower, monotonic_time now) noexcept
@@ -149,9 +151,8 @@
 			   (follower.recovered_at != monotonic_time{} && now - follower.recovered_at < settling_time);
 	}
 
-	bool is_current(const store_follower& follower, monotonic_time now) noexcept
+	bool is_current(const store_follower& follower, monotonic_time known_as_of, monotonic_time now) noexcept
 	{
-		return follower.listed_once && !follower.unreachable &&
-			   now - follower.last_answer <= follower.watch_wait + call_timeout;
+		return follower.listed_once && !follower.unreachable && is_within_records_age(known_as_of, now);
 	}
 }
--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -47,7 +47,8 @@
 		metadata_store& operator=(metadata_store&&) = delete;
 
 		std::uint64_t calls = 0;
-		std::uint64_t bytes = 0; ///< Of the bodies of answers.
+		std::uint64_t confirmations = 0; ///< Calls that do not wait for a change.
+		std::uint64_t bytes = 0;         ///< Of the bodies of answers.
 
 		[[nodiscard]] bool listen(const endpoint& local, std::string reader)
 		{
@@ -162,6 +163,7 @@
 				return;
 			}
 			client.after = number(query_field(target, "after"));
+			confirmations += query_field(target, "wait_ms") == "1" ? 1 : 0;
 			client.watching = true;
 			answer_watch(client, false);
 			const std::chrono::milliseconds wait{number(query_field(target, "wait_ms"))};
--- a/tests/stale_configuration_test.cpp
+++ b/tests/stale_configuration_test.cpp
@@ -1,3 +1,5 @@
+#include "nutmegturn/steering/record_evidence.hpp"
+
 #include "process_deployment.hpp"
 
 namespace nutmegturn::node::testing
@@ -155,5 +157,35 @@
 						  { return it.second.run_at == "desk-a" && it.second.run_time > acknowledged + drain_bound; }),
 					  0);
 		}
+
+		/// Deployments of several sizes in calm times.
+		class store_calls_in_calm_times : public process_deployment, public ::testing::WithParamInterface<int>
+		{
+		};
+
+		// Guards against calls to the store that grow with the number of processes: they tell each other what the store
+		// confirmed.
+		TEST_P(store_calls_in_calm_times, do_not_grow_with_the_number_of_processes)
+		{
+			configure(3, {{kept, "desk"}});
+			for (int i = 0; i < GetParam(); ++i)
+			{
+				add_instance(fmt::format("edge-{}", i), "balancer", "a");
+				add_instance(fmt::format("desk-{}", i), "agent", "a", "desk");
+			}
+			start_all(kept);
+			run_for(5s);
+			store.calls = 0;
+			store.confirmations = 0;
+			store.bytes = 0;
+			run_for(10s);
+			fmt::print("{} processes, 10 s: {} calls, {} of them confirmations, {} bytes of answers\n", 2 * GetParam(),
+					   store.calls, store.confirmations, store.bytes);
+			constexpr auto groups = 2;
+			const auto by_one_process = groups * (10s / steering::balancer_confirmation_ages.shortest);
+			EXPECT_LE(store.confirmations, 2 * by_one_process);
+		}
+
+		INSTANTIATE_TEST_SUITE_P(of_balancers_and_agents, store_calls_in_calm_times, ::testing::Values(2, 6, 12));
 	}
 }
