--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -21,6 +21,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 /// A deployment of real processes on loopback, with stand-ins of its metadata store, upstreams and callers.
@@ -50,6 +51,12 @@
 		std::uint64_t confirmations = 0; ///< Calls that do not wait for a change.
 		std::uint64_t bytes = 0;         ///< Of the bodies of answers.
 
+		/// Decides whether an answer to a process is lost. Its connection then returns nothing further.
+		std::function<bool(const std::string& reader)> loses_answer;
+
+		/// Processes whose calls are refused.
+		std::set<std::string> refused;
+
 		[[nodiscard]] bool listen(const endpoint& local, std::string reader)
 		{
 			auto socket = listen_tcp(local);
@@ -70,6 +77,26 @@
 			add_event(key, items_[key]);
 		}
 
+		/// Removes a record, which is acknowledged when this returns.
+		void remove(const std::string& key)
+		{
+			if (items_.erase(key) > 0)
+			{
+				++revision_;
+				add_event(key, fmt::format(R"({{"key":"{}","revision":{},"removed":true}})", key, revision_));
+			}
+		}
+
+		/// Closes all open connections.
+		void close_connections()
+		{
+			for (const auto& it : connections_)
+			{
+				loop_.unwatch(it.fd.get());
+			}
+			connections_.clear();
+		}
+
 		/// Answers nothing more on the open connections of a process, or on all if none is named.
 		void silence_open_connections(const std::string& reader = {})
 		{
@@ -147,6 +174,11 @@
 		void handle(connection& client, const std::string& target)
 		{
 			++calls;
+			if (refused.contains(client.reader))
+			{
+				send_response(client, "503 Service Unavailable", "{}");
+				return;
+			}
 			client.prefix = query_field(target, "prefix");
 			if (target.starts_with("/kv-range"))
 			{
@@ -215,12 +247,17 @@
 		void reply(connection& client, const std::string& body)
 		{
 			++client.call;
-			if (client.silent)
+			client.silent = client.silent || (loses_answer && loses_answer(client.reader));
+			if (!client.silent)
 			{
-				return;
+				bytes += body.size();
+				send_response(client, "200 OK", body);
 			}
-			bytes += body.size();
-			const auto text = fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+		}
+
+		static void send_response(const connection& client, std::string_view status, const std::string& body)
+		{
+			const auto text = fmt::format("HTTP/1.1 {}\r\nContent-Length: {}\r\n\r\n{}", status, body.size(), body);
 			static_cast<void>(::send(client.fd.get(), text.data(), text.size(), MSG_NOSIGNAL));
 		}
 
@@ -339,6 +376,14 @@
 			flows.clear();
 		}
 
+		/// Kills a process and starts it again.
+		void restart(instance& it) const
+		{
+			::kill(it.process, SIGKILL);
+			::waitpid(it.process, nullptr, 0);
+			start(it);
+		}
+
 		/// Opens a flow to each route through each balancer.
 		void open_flows(const std::vector<std::string>& routes)
 		{
