--- a/tests/configuration_soak_test.cpp
+++ b/tests/configuration_soak_test.cpp
@@ -8,15 +8,6 @@
 	{
 		using namespace std::chrono_literals;
 
-		/// \name Published bounds
-		/// @{
-		constexpr auto stability_window = 4'000ms;
-		constexpr auto config_bound = 3'000ms;
-		constexpr auto downgrade_slack = 250ms;
-		constexpr auto drain_bound = 3'000ms;
-		constexpr auto evacuation_bound = 5'000ms;
-		/// @}
-
 		using route_table = std::map<std::string, std::string>;
 
 		/// Configuration that was published, with the time of its acknowledgement.
--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -27,6 +27,18 @@
 /// A deployment of real processes on loopback, with stand-ins of its metadata store, upstreams and callers.
 namespace nutmegturn::node::testing
 {
+	/// \name Published bounds
+	/// @{
+
+	/// Time without a fault after which rules hold again for a process.
+	inline constexpr std::chrono::milliseconds stability_window{4'000};
+
+	inline constexpr std::chrono::milliseconds config_bound{3'000};
+	inline constexpr std::chrono::milliseconds downgrade_slack{250};
+	inline constexpr std::chrono::milliseconds drain_bound{3'000};
+	inline constexpr std::chrono::milliseconds evacuation_bound{5'000};
+	/// @}
+
 	/// Metadata store with long watches. Each process has a port of its own there. Connections can go silent for good
 	/// while new ones work; the kernel still acknowledges what arrives on them, keep-alive probes included.
 	class metadata_store
--- a/tests/stale_configuration_test.cpp
+++ b/tests/stale_configuration_test.cpp
@@ -8,14 +8,6 @@
 	{
 		using namespace std::chrono_literals;
 
-		/// \name Published bounds
-		/// @{
-		constexpr auto stability_window = 4'000ms;
-		constexpr auto config_bound = 3'000ms;
-		constexpr auto drain_bound = 3'000ms;
-		constexpr auto evacuation_bound = 5'000ms;
-		/// @}
-
 		/// Longer than a process waits between two watches.
 		constexpr auto watch_gap = 1'300ms;
 
@@ -76,7 +68,7 @@
 			}
 
 			/// Expects that no balancer goes by the former configuration after it has gone by the changed one.
-			void expect_no_step_back(std::chrono::milliseconds slack)
+			void expect_no_step_back()
 			{
 				std::map<std::string, monotonic_time> effective;
 				for (const auto& [port, it] : flows)
@@ -92,7 +84,7 @@
 					const auto found = effective.find(it.balancer);
 					const bool former = (it.route == moved && it.run_by == "desk") || (it.route == added && it.reset) ||
 										(it.route == dropped && !it.run_by.empty());
-					EXPECT_FALSE(former && found != effective.end() && it.sent > found->second + slack)
+					EXPECT_FALSE(former && found != effective.end() && it.sent > found->second + downgrade_slack)
 						<< it.balancer << " goes back to an older version at route " << it.route;
 				}
 			}
@@ -109,7 +101,7 @@
 			change_routes();
 			keep_opening({kept, dropped, moved, added}, observed_time);
 			expect_changed_routes();
-			expect_no_step_back(250ms);
+			expect_no_step_back();
 		}
 
 		// Guards against a balancer and the agents of its zone that learn too late from others what their own watches
@@ -124,7 +116,7 @@
 			change_routes();
 			keep_opening({kept, dropped, moved, added}, observed_time);
 			expect_changed_routes();
-			expect_no_step_back(250ms);
+			expect_no_step_back();
 		}
 
 		// Guards against flows to an evacuated zone for up to 11 s after all connections went silent.
