--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -374,8 +374,8 @@
 													.orders = node_.orders_reader.own_evidence(),
 													.upstreams = node_.upstreams_reader.own_evidence(),
 													.pass_on = false};
-				const auto n = node_.catalog.upstreams.size();
-				const auto first = n == 0 ? 0 : next_passing_on_ % n;
+				const auto n = std::max<std::size_t>(node_.catalog.upstreams.size(), 1);
+				const auto first = next_passing_on_ % n;
 				next_passing_on_ += passing_on;
 				std::size_t index = 0;
 				for (const auto& [key, upstream] : node_.catalog.upstreams)
