--- a/tests/stale_configuration_test.cpp
+++ b/tests/stale_configuration_test.cpp
@@ -119,6 +119,27 @@
 			expect_no_step_back();
 		}
 
+		// Guards against one balancer that is behind alone and resets flows at added routes.
+		TEST_F(stale_configuration, ends_in_time_when_the_connections_of_one_process_have_gone_silent)
+		{
+			store.silence_open_connections("edge-a");
+			run_for(stability_window);
+			change_routes();
+			keep_opening({kept, dropped, moved, added}, observed_time);
+			expect_changed_routes();
+			expect_no_step_back();
+		}
+
+		// Guards against a check that finds faults where nothing was disrupted.
+		TEST_F(stale_configuration, ends_in_time_when_nothing_was_disrupted)
+		{
+			run_for(stability_window);
+			change_routes();
+			keep_opening({kept, dropped, moved, added}, observed_time);
+			expect_changed_routes();
+			expect_no_step_back();
+		}
+
 		// Guards against flows to an evacuated zone for up to 11 s after all connections went silent.
 		TEST_F(stale_configuration, delays_no_evacuation_when_all_connections_have_gone_silent)
 		{
