--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -3,6 +3,7 @@
 #include "nutmegturn/steering/opening_queue.hpp"
 #include "nutmegturn/steering/store_follower.hpp"
 #include "nutmegturn/steering/upstream_gate.hpp"
+#include "nutmegturn/steering/work_report.hpp"
 
 #include <deque>
 #include <optional>
@@ -183,6 +184,9 @@
 	/// Returns the current load report.
 	[[nodiscard]] load_report make_load_report(const agent_state& state, const catalog& known, monotonic_time now);
 
+	/// Returns the upstream's work, for `load` messages.
+	[[nodiscard]] work_report make_work_report(const agent_state& state, const catalog& known, monotonic_time now);
+
 	/// Returns the balancers that `report` has to be sent to now, and records it as sent.
 	///
 	/// Load pattern: with few slots nearly every request changes the load by much of them, and each report goes to
--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -51,6 +51,7 @@
 		std::vector<std::pair<service_key, std::uint32_t>> services; ///< With weights, for new flows.
 		std::uint64_t total_weight = 0;
 		std::map<service_key, monotonic_time> former_services; ///< Removed services, with the time of removal.
+		traffic_class traffic;
 	};
 
 	/// Evacuation in force.
--- a/include/nutmegturn/steering/records.hpp
+++ b/include/nutmegturn/steering/records.hpp
@@ -2,6 +2,7 @@
 
 #include "nutmegturn/steering/ipv4.hpp"
 #include "nutmegturn/steering/store_revision.hpp"
+#include "nutmegturn/steering/traffic_class.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -45,6 +46,7 @@
 	{
 		ipv4_endpoint address;
 		std::vector<weighted_service> services;
+		traffic_class traffic{};
 	};
 
 	/// Operator's configuration of a service.
--- a/include/nutmegturn/steering/upstream_choice.hpp
+++ b/include/nutmegturn/steering/upstream_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegturn/steering/message.hpp"
+#include "nutmegturn/steering/work_report.hpp"
 
 #include <optional>
 #include <span>
@@ -15,6 +16,8 @@
 		monotonic_time reported_at;           ///< When the agent's last message arrived.
 		std::uint16_t flows_since_report = 0; ///< New flows sent there since that message.
 		monotonic_time unanswered_since{};    ///< Oldest opening packet without an answer; the epoch if none.
+		std::optional<work_report> work{};    ///< Of the latest `load` message; nothing if it carried none.
+		monotonic_time work_reported_at{};    ///< Arrival of that message.
 	};
 
 	/// Loads by instance of the agent.
@@ -44,9 +47,10 @@
 	///
 	/// \param excluded	Instances that were already tried for this flow.
 	/// \param hash		Hash of the flow; spreads flows over equal upstreams.
+	/// \param priority	Priority of the flow's requests.
 	/// \returns		The upstream, or null if none accepts new flows.
 	[[nodiscard]] const known_upstream* choose_upstream(const catalog& known, service_key service,
 														const load_table& loads, std::string_view zone,
 														std::span<const ipv4> excluded, std::uint64_t hash,
-														monotonic_time now);
+														std::uint8_t priority, monotonic_time now);
 }
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -528,6 +528,12 @@
 		return report;
 	}
 
+	work_report make_work_report([[maybe_unused]] const agent_state& state, [[maybe_unused]] const catalog& known,
+								 [[maybe_unused]] monotonic_time now)
+	{
+		return {};
+	}
+
 	std::vector<ipv4> load_report_recipients(agent_state& state, const load_report& report, std::uint32_t slots,
 											 monotonic_time now)
 	{
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -142,7 +142,8 @@
 			const auto hash = hash_flow(id);
 			const auto service = choose_service(route, hash);
 			const auto* chosen = flow.tried.size() < max_tried_upstreams
-									 ? choose_upstream(known, service, state.loads, state.zone, flow.tried, hash, now)
+									 ? choose_upstream(known, service, state.loads, state.zone, flow.tried, hash,
+													   route.traffic.priority, now)
 									 : nullptr;
 			flow.confirmed = false;
 			if (chosen == nullptr && !flow.unanswered.empty())
--- a/src/steering/upstream_choice.cpp
+++ b/src/steering/upstream_choice.cpp
@@ -67,7 +67,7 @@
 
 	const known_upstream* choose_upstream(const catalog& known, service_key service, const load_table& loads,
 										  std::string_view zone, std::span<const ipv4> excluded, std::uint64_t hash,
-										  monotonic_time now)
+										  [[maybe_unused]] std::uint8_t priority, monotonic_time now)
 	{
 		const auto found = known.by_service.find(service);
 		if (found == known.by_service.end())
