Read traffic classes from configurations and records

Admission and placement are to order work by the class of its route, which was declared but never filled. Routes of op/config state it; a route with an invalid field gets the default class, also if the JSON library refuses the value, and one warning line names the first such route. The catalog knows the class of an address and the priorities of the routes of each service, computed when a configuration is applied and when a former service expires. Service records of schema 3 state it too and are refused with an invalid value. nutmegturnctl check, plan and routes show it; the expected output in the test of routes changes with the new column and stays exact.

--- a/apps/nutmegturnctl/check.cpp
+++ b/apps/nutmegturnctl/check.cpp
@@ -55,7 +55,13 @@
 		const auto& current = config_store_deployment(store);
 		if (is_json)
 		{
-			print_json({{"zones", static_cast<qint64>(current.zones.size())},
+			QJsonObject classes;
+			for (const auto& it : current.services)
+			{
+				classes.insert(to_qstring(it.name), to_json(it.traffic));
+			}
+			print_json({{"classes", classes},
+						{"zones", static_cast<qint64>(current.zones.size())},
 						{"services", static_cast<qint64>(current.services.size())},
 						{"upstreams", static_cast<qint64>(current.upstreams.size())},
 						{"settings", static_cast<qint64>(files.settings_files.size())},
@@ -72,6 +78,10 @@
 			{
 				fmt::print("unresolved: {}\n", it);
 			}
+			for (const auto& it : current.services)
+			{
+				fmt::print("{}: class {}\n", it.name, describe(it.traffic));
+			}
 			fmt::print("{} zones, {} services, {} upstreams in force; {} settings files; {} refused, {} unresolved\n",
 					   current.zones.size(), current.services.size(), current.upstreams.size(),
 					   files.settings_files.size(), refusals.size(), unresolved.size());
--- a/apps/nutmegturnctl/command.cpp
+++ b/apps/nutmegturnctl/command.cpp
@@ -18,6 +18,25 @@
 		fmt::print("{}", QJsonDocument{object}.toJson(QJsonDocument::Indented).toStdString());
 	}
 
+	QJsonObject to_json(const steering::traffic_class& traffic)
+	{
+		return {{"priority", traffic.priority},
+				{"kind", to_qstring(to_string(traffic.kind))},
+				{"latency_target_ms", static_cast<qint64>(traffic.latency_target.count())},
+				{"timeout_ms", static_cast<qint64>(traffic.timeout.count())}};
+	}
+
+	std::string describe(const steering::traffic_class& traffic)
+	{
+		auto text = to_string(traffic);
+		for (const auto& [name, time] :
+			 {std::pair{"latency target", traffic.latency_target}, std::pair{"timeout", traffic.timeout}})
+		{
+			text += time.count() > 0 ? fmt::format(", {} {} ms", name, time.count()) : std::string{};
+		}
+		return text;
+	}
+
 	std::vector<std::string> apply_record_files(const record_files& files, config_store& store)
 	{
 		std::vector<std::string> refusals;
--- a/apps/nutmegturnctl/command.hpp
+++ b/apps/nutmegturnctl/command.hpp
@@ -3,6 +3,7 @@
 #include "nutmegturn/config_store.hpp"
 #include "nutmegturn/endpoint.hpp"
 #include "nutmegturn/flow_key.hpp"
+#include "nutmegturn/steering/traffic_class.hpp"
 
 #include "runtime/command_line.hpp"
 #include "runtime/record_files.hpp"
@@ -43,6 +44,12 @@
 	/// Converts texts to an array of strings.
 	[[nodiscard]] QJsonArray to_json(const std::vector<std::string>& texts);
 
+	/// Returns a traffic class in JSON.
+	[[nodiscard]] QJsonObject to_json(const steering::traffic_class& traffic);
+
+	/// Returns a traffic class as text, such as `1/non_idempotent, latency target 150 ms, timeout 2000 ms`.
+	[[nodiscard]] std::string describe(const steering::traffic_class& traffic);
+
 	/// Applies records that were read from files to a store.
 	/// \returns	One message for each unreadable file and each refused record, conflicts included.
 	std::vector<std::string> apply_record_files(const runtime::record_files& files, config_store& store);
--- a/apps/nutmegturnctl/routes.cpp
+++ b/apps/nutmegturnctl/routes.cpp
@@ -9,6 +9,7 @@
 
 #include <cstdio>
 #include <map>
+#include <vector>
 
 namespace nutmegturn::ctl
 {
@@ -99,15 +100,18 @@
 					services.append(describe_share(routes, it, total_weight));
 				}
 			}
-			return {{"address", to_qstring(to_string(route.address))}, {"services", services}};
+			return {{"address", to_qstring(to_string(route.address))},
+					{"class", to_json(route.traffic)},
+					{"services", services}};
 		}
 
-		void print_route(const QJsonObject& route)
+		void print_route(const QJsonObject& route, const steering::traffic_class& traffic)
 		{
 			const auto services = route["services"].toArray();
 			if (services.isEmpty())
 			{
-				fmt::print("{:<22} no service\n", route["address"].toString().toStdString());
+				fmt::print("{:<22} no service; class {}\n", route["address"].toString().toStdString(),
+						   describe(traffic));
 			}
 			for (const auto& it : services)
 			{
@@ -119,9 +123,9 @@
 				{
 					zones += fmt::format(" {}:{}", zone.key().toStdString(), zone.value().toInt());
 				}
-				fmt::print("{:<22} {:>5.1f} % {}{}\n", route["address"].toString().toStdString(),
+				fmt::print("{:<22} {:>5.1f} % {}{}; class {}\n", route["address"].toString().toStdString(),
 						   percent * share["share"].toDouble(), share["service"].toString().toStdString(),
-						   share.contains("upstreams") && zones.empty() ? " no upstreams" : zones);
+						   share.contains("upstreams") && zones.empty() ? " no upstreams" : zones, describe(traffic));
 			}
 		}
 	}
@@ -142,23 +146,33 @@
 		apply_listing(routes, steering::record_group::operator_orders, orders);
 		apply_listing(routes, steering::record_group::upstreams, upstreams);
 		QJsonArray described;
+		std::vector<steering::traffic_class> classes;
 		for (const auto& it : routes.config.routes)
 		{
 			if (!address || steering::to_endpoint(it.address) == *address)
 			{
 				described.append(describe_route(routes, it));
+				classes.push_back(it.traffic);
 			}
 		}
 		if (is_json)
 		{
-			print_json({{"version", static_cast<qint64>(routes.config.version)}, {"routes", described}});
+			print_json({{"version", static_cast<qint64>(routes.config.version)},
+						{"routes_with_default_class", static_cast<qint64>(routes.config.routes_with_default_class)},
+						{"first_invalid_class", to_qstring(routes.config.first_invalid_class)},
+						{"routes", described}});
 		}
 		else
 		{
 			fmt::print("configuration version {}\n", routes.config.version);
-			for (const auto& it : described)
+			if (routes.config.routes_with_default_class > 0)
 			{
-				print_route(it.toObject());
+				fmt::print("{} routes with an invalid class have the default class; the first one is {}\n",
+						   routes.config.routes_with_default_class, routes.config.first_invalid_class);
+			}
+			for (qsizetype i = 0; i < described.size(); ++i)
+			{
+				print_route(described[i].toObject(), classes[static_cast<std::size_t>(i)]);
 			}
 		}
 		if (address && described.isEmpty())
--- a/include/nutmegturn/deployment.hpp
+++ b/include/nutmegturn/deployment.hpp
@@ -2,6 +2,7 @@
 
 #include "nutmegturn/endpoint.hpp"
 #include "nutmegturn/ids.hpp"
+#include "nutmegturn/steering/traffic_class.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -49,6 +50,7 @@
 		std::vector<endpoint> addresses;
 		service_protocol protocol = service_protocol::datagram;
 		std::chrono::seconds idle_timeout{3600};
+		steering::traffic_class traffic{}; ///< Class of its requests.
 	};
 
 	/// Accepted record of an upstream.
--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -54,6 +54,13 @@
 		traffic_class traffic;
 	};
 
+	/// Priorities of the routes that lead to a service.
+	struct priority_range
+	{
+		std::uint8_t most_urgent = lowest_priority; ///< The smallest number.
+		std::uint8_t least_urgent = 0;              ///< The largest number.
+	};
+
 	/// Evacuation in force.
 	struct known_evacuation
 	{
@@ -79,6 +86,7 @@
 		monotonic_time versions_skipped_at{}; ///< When a version was read without those before it, or zero.
 		std::map<ipv4_endpoint, known_route> routes;
 		std::map<service_key, service_record> services;
+		std::map<service_key, priority_range> priorities; ///< By service, also those that routes led to formerly.
 		std::map<std::string, known_upstream> upstreams;
 		std::map<std::string, known_evacuation> evacuations;    ///< By zone.
 		std::map<std::string, std::uint64_t> ended_evacuations; ///< Revision number of the last one by key.
@@ -145,6 +153,16 @@
 	/// Removes upstreams and former services of routes after `former_upstream_retention`.
 	void expire_former(catalog& known, monotonic_time now);
 
+	/// Returns the class of the requests that callers send to an address; the default class for an unknown route.
+	[[nodiscard]] traffic_class traffic_class_of(const catalog& known, const ipv4_endpoint& address);
+
+	/// Returns whether the routes that lead to a service differ in priority. A route that led there until
+	/// `former_upstream_retention` ago counts, since its open flows remain there.
+	[[nodiscard]] bool has_priorities(const catalog& known, service_key service);
+
+	/// Returns the smallest priority number of these routes; `lowest_priority` if there is none.
+	[[nodiscard]] std::uint8_t most_urgent_priority(const catalog& known, service_key service);
+
 	/// Returns whether `a` registered later than `b`. Only upstreams of one address are compared. The order of
 	/// registrations decides, since clocks of instances may be set back; start times decide if it is unknown.
 	[[nodiscard]] bool registered_later(const known_upstream& a, const known_upstream& b) noexcept;
--- a/include/nutmegturn/steering/records.hpp
+++ b/include/nutmegturn/steering/records.hpp
@@ -63,7 +63,9 @@
 		std::uint64_t version = 0;
 		std::vector<route_record> routes;
 		std::vector<service_record> services;
-		milliseconds idle_timeout{0}; ///< A flow without packets for this long may be removed.
+		milliseconds idle_timeout{0};                ///< A flow without packets for this long may be removed.
+		std::uint64_t routes_with_default_class = 0; ///< Routes whose class has an invalid field.
+		std::string first_invalid_class; ///< The first of them, with the field, its value and what was expected.
 	};
 
 	/// Operator's instruction to place no new flows in an availability zone.
--- a/include/nutmegturn/steering/traffic_class.hpp
+++ b/include/nutmegturn/steering/traffic_class.hpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <string_view>
 
 namespace nutmegturn::steering
@@ -24,6 +25,9 @@
 		return request_kind_names[static_cast<std::size_t>(kind)];
 	}
 
+	/// Longest latency target and timeout that a configuration may state.
+	inline constexpr std::chrono::milliseconds max_class_time = std::chrono::hours{1};
+
 	/// Priority of a route that states none. Smaller numbers are more urgent.
 	inline constexpr std::uint8_t lowest_priority = 255;
 
@@ -38,4 +42,7 @@
 		/// Compares all members.
 		[[nodiscard]] friend constexpr bool operator==(const traffic_class&, const traffic_class&) noexcept = default;
 	};
+
+	/// Returns priority and kind for logs and command output, such as `1/non_idempotent`.
+	[[nodiscard]] std::string to_string(const traffic_class& traffic);
 }
--- a/src/deployment_plan.cpp
+++ b/src/deployment_plan.cpp
@@ -47,7 +47,11 @@
 				}
 				all[service.name] = {{"addresses", fmt::format("{}", fmt::join(addresses, " "))},
 									 {"protocol", std::string{to_string(service.protocol)}},
-									 {"idle_timeout", fmt::format("{}s", service.idle_timeout.count())}};
+									 {"idle_timeout", fmt::format("{}s", service.idle_timeout.count())},
+									 {"request_kind", std::string{to_string(service.traffic.kind)}},
+									 {"latency_target", fmt::format("{}ms", service.traffic.latency_target.count())},
+									 {"timeout", fmt::format("{}ms", service.traffic.timeout.count())},
+									 {"priority", std::to_string(service.traffic.priority)}};
 			}
 			for (const auto& upstream : records.upstreams)
 			{
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -393,6 +393,7 @@
 		if (effect == steering::record_effect::configured)
 		{
 			log_service_limits();
+			log_invalid_classes(std::get<steering::configuration>(record.value));
 		}
 		const auto* problem = std::get_if<steering::unreadable_record>(&record.value);
 		log_.write(problem == nullptr ? log_level::info : log_level::warning, to_string(effect),
@@ -502,6 +503,18 @@
 		}
 	}
 
+	void store_reader::log_invalid_classes(const steering::configuration& config)
+	{
+		if (config.routes_with_default_class > 0)
+		{
+			log_.write(log_level::warning, "class_invalid",
+					   "routes with an invalid class have the default class; the first one is named",
+					   {{"version", std::to_string(config.version)},
+						{"routes", std::to_string(config.routes_with_default_class)},
+						{"first", config.first_invalid_class}});
+		}
+	}
+
 	void store_reader::handle_failure(const std::string& reason)
 	{
 		if (!follower_.unreachable)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -163,6 +163,9 @@
 		void apply_relayed_configuration(const platform::store_response& response);
 		void update_encoded(const steering::store_record& record);
 		void log_service_limits();
+
+		/// Logs that routes have the default class because a field of their class is invalid.
+		void log_invalid_classes(const steering::configuration& config);
 		void handle_failure(const std::string& reason);
 		void update_watch_scope();
 		void record_newest(const steering::store_revision& revision) noexcept;
--- a/src/record.cpp
+++ b/src/record.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <span>
 
 namespace nutmegturn
 {
@@ -46,19 +47,27 @@
 			}
 		}
 
-		/// Parses a duration such as `90s`, `15m` or `1h`.
-		/// \returns	Seconds, or 0 when the text is malformed or the duration is too long.
-		std::uint32_t parse_duration(std::string_view text) noexcept
+		struct duration_unit
+		{
+			std::string_view suffix;
+			std::uint32_t milliseconds;
+		};
+
+		constexpr std::array<duration_unit, 4> duration_units{
+			{{"ms", 1}, {"s", 1'000}, {"m", 60'000}, {"h", 3'600'000}}};
+
+		/// Parses a duration such as `150ms`, `90s`, `15m` or `1h`.
+		/// \param units	Accepted units.
+		/// \returns		The duration, or 0 when the text is malformed.
+		std::chrono::milliseconds parse_duration(std::string_view text, std::span<const duration_unit> units) noexcept
 		{
 			std::uint32_t number = 0;
-			const auto [it, ec] = std::from_chars(text.data(), text.data() + text.size(), number);
-			if (ec != std::errc{} || it + 1 != text.data() + text.size() || number > max_idle_timeout_s)
-			{
-				return 0;
-			}
-			const std::uint32_t unit = *it == 's' ? 1 : *it == 'm' ? 60 : *it == 'h' ? 3'600 : 0;
-			const std::uint64_t seconds = std::uint64_t{number} * unit;
-			return seconds > max_idle_timeout_s ? 0 : static_cast<std::uint32_t>(seconds);
+			const auto* end = text.data() + text.size();
+			const auto [it, ec] = std::from_chars(text.data(), end, number);
+			const std::string_view suffix{it, static_cast<std::size_t>(end - it)};
+			const auto unit = std::ranges::find(units, suffix, &duration_unit::suffix);
+			return std::chrono::milliseconds{
+				ec == std::errc{} && unit != units.end() ? std::int64_t{number} * unit->milliseconds : 0};
 		}
 
 		std::uint32_t read_idle_timeout(json_context& context, object_reader& in, std::uint32_t schema)
@@ -72,13 +81,47 @@
 			{
 				return default_idle_timeout_s;
 			}
-			const auto seconds = parse_duration(value->toString().toStdString());
-			if (seconds == 0)
+			const auto units = std::span{duration_units}.subspan(1);
+			const auto duration = parse_duration(value->toString().toStdString(), units);
+			const auto seconds = std::chrono::duration_cast<std::chrono::seconds>(duration).count();
+			if (seconds < 1 || seconds > max_idle_timeout_s)
 			{
 				context.set_error(in.path_of("idle_timeout"), impl::json_text(*value),
 								  "duration from 1 s to 30 days, such as 90s, 15m or 1h");
+				return default_idle_timeout_s;
+			}
+			return static_cast<std::uint32_t>(seconds);
+		}
+
+		/// Reads a time of a traffic class.
+		/// \returns	The time, or 0 when the field is absent.
+		std::chrono::milliseconds read_class_time(json_context& context, object_reader& in, std::string_view key)
+		{
+			const auto value = in.find(key);
+			if (!value)
+			{
+				return std::chrono::milliseconds{0};
 			}
-			return seconds;
+			const auto time = parse_duration(value->toString().toStdString(), duration_units);
+			if (time.count() < 1 || time > steering::max_class_time)
+			{
+				context.set_error(in.path_of(key), impl::json_text(*value),
+								  "duration from 1 ms to 1 h, such as 150ms or 2s");
+			}
+			return time;
+		}
+
+		steering::traffic_class read_class(json_context& context, object_reader& in)
+		{
+			constexpr steering::traffic_class defaults;
+			steering::traffic_class traffic;
+			traffic.kind = static_cast<steering::request_kind>(
+				in.choice("request_kind", steering::request_kind_names, static_cast<std::size_t>(defaults.kind)));
+			traffic.latency_target = read_class_time(context, in, "latency_target");
+			traffic.timeout = read_class_time(context, in, "timeout");
+			traffic.priority =
+				static_cast<std::uint8_t>(in.number("priority", 0, steering::lowest_priority, defaults.priority));
+			return traffic;
 		}
 
 		zone_config read_zone(object_reader& in, const record& rec)
@@ -111,6 +154,10 @@
 				{ append_unique(context, path, value, service.addresses, impl::read_endpoint(context, value, path)); });
 			service.protocol = static_cast<service_protocol>(in.choice("protocol", protocols, 0));
 			service.idle_timeout = std::chrono::seconds{read_idle_timeout(context, in, rec.schema)};
+			if (rec.schema == newest_schema)
+			{
+				service.traffic = read_class(context, in);
+			}
 			return service;
 		}
 
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -113,6 +113,7 @@
 		[[nodiscard]] known_route make_route(const route_record& record)
 		{
 			known_route made;
+			made.traffic = record.traffic;
 			for (const auto& share : record.services)
 			{
 				if (share.weight > 0)
@@ -138,6 +139,28 @@
 			}
 		}
 
+		void rebuild_priorities(catalog& known)
+		{
+			known.priorities.clear();
+			const auto add = [&known](service_key service, std::uint8_t priority)
+			{
+				auto& range = known.priorities[service];
+				range.most_urgent = std::min(range.most_urgent, priority);
+				range.least_urgent = std::max(range.least_urgent, priority);
+			};
+			for (const auto& [address, route] : known.routes)
+			{
+				for (const auto& [service, weight] : route.services)
+				{
+					add(service, route.traffic.priority);
+				}
+				for (const auto& [service, removed_at] : route.former_services)
+				{
+					add(service, route.traffic.priority);
+				}
+			}
+		}
+
 		record_effect apply_configuration(catalog& known, const configuration& config, monotonic_time now)
 		{
 			if (config.version <= known.version)
@@ -155,6 +178,7 @@
 				routes.insert_or_assign(record.address, std::move(made));
 			}
 			known.routes = std::move(routes);
+			rebuild_priorities(known);
 			known.services.clear();
 			for (const auto& service : config.services)
 			{
@@ -363,11 +387,34 @@
 		{
 			rebuild_index(known);
 		}
+		std::size_t former_services = 0;
 		for (auto& [address, route] : known.routes)
 		{
-			std::erase_if(route.former_services,
-						  [now](const auto& it) { return now - it.second > former_upstream_retention; });
+			former_services += std::erase_if(route.former_services, [now](const auto& it)
+											 { return now - it.second > former_upstream_retention; });
 		}
+		if (former_services > 0)
+		{
+			rebuild_priorities(known);
+		}
+	}
+
+	traffic_class traffic_class_of(const catalog& known, const ipv4_endpoint& address)
+	{
+		const auto found = known.routes.find(address);
+		return found == known.routes.end() ? traffic_class{} : found->second.traffic;
+	}
+
+	bool has_priorities(const catalog& known, service_key service)
+	{
+		const auto found = known.priorities.find(service);
+		return found != known.priorities.end() && found->second.most_urgent != found->second.least_urgent;
+	}
+
+	std::uint8_t most_urgent_priority(const catalog& known, service_key service)
+	{
+		const auto found = known.priorities.find(service);
+		return found == known.priorities.end() ? lowest_priority : found->second.most_urgent;
 	}
 
 	bool registered_later(const known_upstream& a, const known_upstream& b) noexcept
--- a/tests/nutmegturnctl_test.cpp
+++ b/tests/nutmegturnctl_test.cpp
@@ -66,7 +66,14 @@
 	TEST_F(nutmegturnctl, accepts_valid_files_and_refuses_faulty_ones)
 	{
 		EXPECT_EQ(run({"check", "--json", examples + "lju"}).json["upstreams"].toInt(), 10);
-		EXPECT_EQ(run({"check", examples + "cz-stred"}).status, 0);
+		const auto accepted = run({"check", examples + "cz-stred"});
+		EXPECT_EQ(accepted.status, 0);
+		EXPECT_TRUE(accepted.text.contains(
+			"/cz-stred/map-archive: class 4/download, latency target 2000 ms, timeout 10000 ms\n"))
+			<< accepted.text.toStdString();
+		EXPECT_EQ(
+			run({"check", "--json", examples + "lju"}).json["classes"].toObject()["/lju/poti"].toObject()["priority"],
+			1);
 		const auto typo =
 			write_file("zone-x.json", R"({"schema":3,"kind":"availability_zone","name":"/lju/x","stat":"in"})");
 		const auto refused = run({"check", typo});
@@ -158,6 +165,8 @@
 		}
 		routes += R"(,{"host":"198.19.0.1","prefix":"/8443/","traffic_split":[{"service":"desk","weight":3},)"
 				  R"({"service":"maps","weight":1}]})";
+		routes += R"(,{"host":"198.19.0.3","prefix":"/80/","service":"desk","type":"idempotent","aim_ms":150,)"
+				  R"("timeout_ms":2000,"priority":1},{"host":"198.19.0.4","prefix":"/80/","priority":"high"})";
 		const auto config = base64(fmt::format(R"({{"version":7,"routes":[{}]}})", routes));
 		const auto entry = [](const char* zone, const char* state, int host)
 		{
@@ -182,15 +191,26 @@
 
 		const auto one = run({"routes", process, "198.19.0.1:8443"});
 		EXPECT_EQ(one.status, 0) << one.text.toStdString();
-		EXPECT_EQ(one.text, "configuration version 7\n"
-							"198.19.0.1:8443         75.0 % desk a:1 b:1\n"
-							"198.19.0.1:8443         25.0 % maps no upstreams\n");
-		EXPECT_EQ(run({"routes", process}).text.count('\n'), 2'003);
-		EXPECT_EQ(run({"routes", process, "--json"}).json["routes"].toArray().size(), 2'001);
+		const QString heading =
+			"configuration version 7\n1 routes with an invalid class have the default class; the first "
+			"one is route 198.19.0.4:80: priority: got \"high\", expected an integer from 0 to 255\n";
+		EXPECT_EQ(one.text, heading + "198.19.0.1:8443         75.0 % desk a:1 b:1; class 255/non_idempotent\n"
+									  "198.19.0.1:8443         25.0 % maps no upstreams; class 255/non_idempotent\n");
+		EXPECT_EQ(run({"routes", process}).text.count('\n'), 2'006);
+		const auto json = run({"routes", process, "--json"}).json;
+		EXPECT_EQ(json["routes"].toArray().size(), 2'003);
+		EXPECT_EQ(json["routes_with_default_class"].toInt(), 1);
+		const auto traffic = json["routes"].toArray()[2'001].toObject()["class"].toObject();
+		EXPECT_EQ(
+			traffic,
+			(QJsonObject{{"priority", 1}, {"kind", "idempotent"}, {"latency_target_ms", 150}, {"timeout_ms", 2000}}));
+		EXPECT_EQ(run({"routes", process, "198.19.0.3:80"}).text,
+				  heading + "198.19.0.3:80          100.0 % desk a:1 b:1; class 1/idempotent, latency target 150 ms, "
+							"timeout 2000 ms\n");
 		EXPECT_EQ(run({"routes", process, "198.19.0.2:8443"}).status, 5);
 		EXPECT_EQ(run({"routes", process, "198.19.0.2"}).status, 2);
 		const auto by_agent = run({"routes", at(agent), "198.18.0.1:443"});
-		EXPECT_EQ(by_agent.text, "configuration version 7\n198.18.0.1:443         100.0 % desk\n");
+		EXPECT_EQ(by_agent.text, heading + "198.18.0.1:443         100.0 % desk; class 255/non_idempotent\n");
 	}
 
 	// Guards against a fleet table that omits a daemon that does not answer, shows an unreported count as 0 or hides
--- a/tests/odd_entries_test.cpp
+++ b/tests/odd_entries_test.cpp
@@ -115,6 +115,71 @@
 			}
 		}
 
+		/// Values of a class field that are invalid in each of the four.
+		[[nodiscard]] std::vector<std::string> odd_class_values()
+		{
+			return {nested(),
+					R"({"a":)" + nested() + "}",
+					"null",
+					"true",
+					"-1",
+					"2.5",
+					"7.0",
+					"3600001",
+					"18446744073709551616",
+					"1e400",
+					"1e999",
+					"-1e999",
+					R"("7")",
+					R"("Idempotent")",
+					R"("\ud800")",
+					"\"" + std::string(largest_value, 'x') + "\"",
+					"\"" + std::string(59, 'x') + "\xc5\xbe\"",
+					"\"\xff\xfe\"",
+					"[]",
+					"{}"};
+		}
+
+		// Guards against a configuration that an odd class makes unreadable, against losing the routes beside it, and
+		// against a description as large as the value.
+		TEST(odd_class, gives_its_route_the_default_class_and_changes_no_other)
+		{
+			constexpr std::size_t most_described = 250;
+			const auto values = odd_class_values();
+			for (const auto* field : {"type", "aim_ms", "timeout_ms", "priority"})
+			{
+				for (std::size_t i = 0; i < values.size(); ++i)
+				{
+					const auto route = [](int host, std::string_view fields) {
+						return fmt::format(R"({{"host":"198.18.0.{}","prefix":"/80/","service":"desk","name":"é"{}}})",
+										   host, fields);
+					};
+					const auto good = R"(,"type":"download","aim_ms":20,"timeout_ms":700,"priority":2)";
+					const auto odd = fmt::format(R"(,"{}":{},"{}":5)", field, values[i],
+												 field == std::string_view{"aim_ms"} ? "timeout_ms" : "aim_ms");
+					const auto body =
+						fmt::format(R"({{"version":7,"routes":[{},{},{}],"limits":{{"idle_timeout_ms":9}}}})",
+									route(1, good), route(2, odd), route(3, good));
+					const auto response = platform::decode_response(200, "", listing_of({item("op/config", 8, body)}));
+					const auto* config = std::get_if<steering::configuration>(&response.records.at(0).value);
+					ASSERT_NE(config, nullptr) << field << ", value " << i;
+					ASSERT_EQ(config->routes.size(), 3U) << field << ", value " << i;
+					EXPECT_EQ(config->routes[1].traffic, steering::traffic_class{}) << field << ", value " << i;
+					for (const auto& it : {config->routes[0], config->routes[2]})
+					{
+						EXPECT_EQ(to_string(it.traffic), "2/download") << field << ", value " << i;
+						EXPECT_EQ(it.services.at(0).service, "desk");
+					}
+					EXPECT_EQ(config->routes_with_default_class, 1U) << field << ", value " << i;
+					EXPECT_TRUE(
+						config->first_invalid_class.starts_with(fmt::format("route 198.18.0.2:80: {}: ", field)))
+						<< config->first_invalid_class;
+					EXPECT_LT(config->first_invalid_class.size(), most_described);
+					EXPECT_EQ(config->idle_timeout, 9ms);
+				}
+			}
+		}
+
 		// Guards against a process that exceeds its memory: the values of entries that name no upstream were kept, up
 		// to a megabyte each, to relay them to other processes.
 		TEST(odd_store_entry, is_relayed_without_its_value)
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -4,6 +4,7 @@
 #include "platform/store_format.hpp"
 #include "steering_world.hpp"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <sodium.h>
 
@@ -202,6 +203,60 @@
 			EXPECT_EQ(it->idle_timeout.count(), 15'000);
 		}
 
+		[[nodiscard]] steering::configuration decode_route_with(std::string_view fields)
+		{
+			const auto value = decode_one(
+				"op/config",
+				fmt::format(R"({{"version":7,"routes":[{{"host":"198.18.0.1","prefix":"/80/","service":"desk"{}}}]}})",
+							fields));
+			return std::get<steering::configuration>(value);
+		}
+
+		// Guards against a class that is lost or misread, and against a missing field that takes the rest of the class
+		// with it.
+		TEST(store_format, decodes_the_class_of_a_route)
+		{
+			using steering::request_kind;
+			using steering::traffic_class;
+			const std::vector<std::pair<std::string_view, traffic_class>> cases{
+				{R"(,"type":"idempotent","aim_ms":150,"timeout_ms":2000,"priority":0)",
+				 {.kind = request_kind::idempotent, .latency_target = 150ms, .timeout = 2s, .priority = 0}},
+				{R"(,"type":"download","aim_ms":1,"timeout_ms":3600000,"priority":255)",
+				 {.kind = request_kind::download, .latency_target = 1ms, .timeout = 1h, .priority = 255}},
+				{R"(,"type":"non_idempotent","aim_ms":3600000,"timeout_ms":1)",
+				 {.kind = request_kind::non_idempotent, .latency_target = 1h, .timeout = 1ms, .priority = 255}},
+				{R"(,"priority":3)", {.priority = 3}},
+				{R"(,"aim_ms":40)", {.latency_target = 40ms}},
+				{"", {}}};
+			for (const auto& [fields, expected] : cases)
+			{
+				const auto config = decode_route_with(fields);
+				EXPECT_EQ(config.routes.at(0).traffic, expected) << fields;
+				EXPECT_EQ(config.routes_with_default_class, 0U) << fields;
+				EXPECT_EQ(config.first_invalid_class, "") << fields;
+			}
+		}
+
+		// Guards against a class that is taken in part, and against a warning that does not tell what to correct.
+		TEST(store_format, names_the_first_route_with_an_invalid_class)
+		{
+			const auto value = decode_one(
+				"op/config", R"({"version":7,"routes":[)"
+							 R"({"host":"198.18.0.1","prefix":"/80/","service":"desk","priority":1},)"
+							 R"({"host":"198.18.0.2","prefix":"/80/","service":"desk","aim_ms":9,"priority":256},)"
+							 R"({"host":"198.18.0.3","prefix":"/80/","service":"desk","type":"urgent"}]})");
+			const auto& config = std::get<steering::configuration>(value);
+			ASSERT_EQ(config.routes.size(), 3U);
+			EXPECT_EQ(config.routes[0].traffic, (steering::traffic_class{.priority = 1}));
+			EXPECT_EQ(config.routes[1].traffic, steering::traffic_class{});
+			EXPECT_EQ(config.routes[2].traffic, steering::traffic_class{});
+			EXPECT_EQ(config.routes_with_default_class, 2U);
+			EXPECT_EQ(config.first_invalid_class,
+					  "route 198.18.0.2:80: priority: got 256, expected an integer from 0 to 255");
+			EXPECT_EQ(decode_route_with(R"(,"type":"urgent")").first_invalid_class,
+					  "route 198.18.0.1:80: type: got \"urgent\", expected idempotent, non_idempotent, download");
+		}
+
 		// Guards against a record that ends the process: re-encoding an item with deep nesting exhausted the stack.
 		TEST(store_format, survives_deeply_nested_items)
 		{
--- a/tests/record_test.cpp
+++ b/tests/record_test.cpp
@@ -16,6 +16,11 @@
 			std::string path;
 		};
 
+		std::string service_with(const std::string& fields)
+		{
+			return R"({"schema":3,"kind":"service","name":"/d/s","addresses":["127.0.0.1:1"])" + fields + "}";
+		}
+
 		std::string upstream_with(const std::string& fields)
 		{
 			return R"({"schema":3,"kind":"upstream","name":"/d/z/s/1","service":"/d/s","zone":"/d/z",)"
@@ -85,6 +90,26 @@
 		EXPECT_EQ(disabled.service, "/d/s");
 	}
 
+	// Guards against a traffic class that is lost or misread, and against other defaults than those of the platform.
+	TEST(a_record, states_the_traffic_class_of_a_service)
+	{
+		const auto traffic_of = [](const std::string& fields)
+		{
+			const auto parsed = parse_record("k", service_with(fields));
+			return std::get<service_config>(std::get<record>(parsed).config).traffic;
+		};
+		using steering::request_kind;
+		using steering::traffic_class;
+		using namespace std::chrono_literals;
+		EXPECT_EQ(traffic_of(""), traffic_class{});
+		EXPECT_EQ(
+			traffic_of(R"(,"request_kind":"idempotent","latency_target":"150ms","timeout":"2s","priority":0)"),
+			(traffic_class{.kind = request_kind::idempotent, .latency_target = 150ms, .timeout = 2s, .priority = 0}));
+		EXPECT_EQ(traffic_of(R"(,"request_kind":"download","timeout":"1h","priority":255)"),
+				  (traffic_class{.kind = request_kind::download, .timeout = 1h}));
+		EXPECT_EQ(traffic_of(R"(,"latency_target":"1m")"), (traffic_class{.latency_target = 1min}));
+	}
+
 	// Guards against partial acceptance of a document, with an invalid field ignored or replaced by its default.
 	TEST(a_record, is_rejected_with_the_path_of_the_error)
 	{
@@ -102,6 +127,23 @@
 			rejected_input{
 				R"({"schema":3,"kind":"service","name":"/d/s","addresses":["127.0.0.1:1"],"idle_timeout":"0s"})",
 				"idle_timeout"},
+			rejected_input{service_with(R"(,"idle_timeout":"2000ms")"), "idle_timeout"},
+			rejected_input{service_with(R"(,"idle_timeout":"31000000m")"), "idle_timeout"},
+			rejected_input{service_with(R"(,"request_kind":"Idempotent")"), "request_kind"},
+			rejected_input{service_with(R"(,"request_kind":1)"), "request_kind"},
+			rejected_input{service_with(R"(,"latency_target":150)"), "latency_target"},
+			rejected_input{service_with(R"(,"latency_target":"0ms")"), "latency_target"},
+			rejected_input{service_with(R"(,"latency_target":"150")"), "latency_target"},
+			rejected_input{service_with(R"(,"latency_target":"-1s")"), "latency_target"},
+			rejected_input{service_with(R"(,"timeout":"3601s")"), "timeout"},
+			rejected_input{service_with(R"(,"timeout":"4294967297ms")"), "timeout"},
+			rejected_input{service_with(R"(,"timeout":"2 s")"), "timeout"},
+			rejected_input{service_with(R"(,"timeout":null)"), "timeout"},
+			rejected_input{service_with(R"(,"priority":256)"), "priority"},
+			rejected_input{service_with(R"(,"priority":-1)"), "priority"},
+			rejected_input{service_with(R"(,"priority":"1")"), "priority"},
+			rejected_input{R"({"schema":2,"kind":"service","name":"/d/s","addresses":["127.0.0.1:1"],"priority":1})",
+						   "priority"},
 			rejected_input{R"({"schema":1,"kind":"availability_zone","name":"/d/z","state":"out"})", "state"},
 			rejected_input{R"({"schema":2,"kind":"availability_zone","name":"/d/z","region":"r"})", "region"},
 			rejected_input{R"({"schema":3,"kind":"availability_zone","name":"/d/z","na\u006de":"/d/y"})", "name"},
@@ -124,5 +166,8 @@
 			EXPECT_EQ(std::get<parse_error>(outcome).source, "key-1");
 		}
 		EXPECT_TRUE(has_value(parse_record("key-1", upstream_with(""))));
+		const auto late = std::get<parse_error>(parse_record("key-1", service_with(R"(,"timeout":"2h")")));
+		EXPECT_EQ(late.value, R"("2h")");
+		EXPECT_EQ(late.expected, "duration from 1 ms to 1 h, such as 150ms or 2s");
 	}
 }
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -27,6 +27,45 @@
 			EXPECT_EQ(known.routes.at(route_address).services.at(0).first, key_of_service("desk"));
 		}
 
+		// Guards against a class that is lost between the record and the decisions, against priorities of a service
+		// that no route leads to, and against those of an earlier configuration.
+		TEST_F(steering_catalog, knows_the_classes_of_routes_and_the_priorities_of_services)
+		{
+			const auto route = [](std::uint16_t port, const char* service, std::uint8_t priority)
+			{
+				return route_record{.address = {.ip = route_address.ip, .port = port},
+									.services = {{.service = service, .weight = 1}, {.service = "idle", .weight = 0}},
+									.traffic = {.kind = request_kind::download, .priority = priority}};
+			};
+			const auto desk = key_of_service("desk");
+			const auto archive = key_of_service("archive");
+			EXPECT_FALSE(has_priorities(known, desk));
+			EXPECT_EQ(most_urgent_priority(known, desk), lowest_priority);
+			configuration config;
+			config.version = 4;
+			config.routes = {route(1, "desk", 5), route(2, "desk", 2), route(3, "desk", 9), route(4, "archive", 7),
+							 route(5, "archive", 7)};
+			put(known, "config", config);
+			EXPECT_EQ(traffic_class_of(known, {.ip = route_address.ip, .port = 2}),
+					  (traffic_class{.kind = request_kind::download, .priority = 2}));
+			EXPECT_EQ(traffic_class_of(known, {.ip = route_address.ip, .port = 99}), traffic_class{});
+			EXPECT_TRUE(has_priorities(known, desk));
+			EXPECT_EQ(most_urgent_priority(known, desk), 2);
+			EXPECT_FALSE(has_priorities(known, archive));
+			EXPECT_EQ(most_urgent_priority(known, archive), 7);
+			EXPECT_FALSE(has_priorities(known, key_of_service("idle")));
+			EXPECT_EQ(most_urgent_priority(known, key_of_service("idle")), lowest_priority);
+
+			config.version = 5;
+			config.routes = {route(1, "desk", 5), route(2, "archive", 2), route(3, "desk", 5)};
+			put(known, "config", config);
+			EXPECT_TRUE(has_priorities(known, desk)) << "flows of the route that left remain";
+			EXPECT_TRUE(has_priorities(known, archive) == false && most_urgent_priority(known, archive) == 2);
+			expire_former(known, start + former_upstream_retention + 1s);
+			EXPECT_FALSE(has_priorities(known, desk));
+			EXPECT_EQ(most_urgent_priority(known, desk), 5);
+		}
+
 		// Guards against a relayed record or a repeated watch that restores an older state.
 		TEST_F(steering_catalog, ignores_records_not_newer_than_known_revision)
 		{
--- a/tests/store_reader_test.cpp
+++ b/tests/store_reader_test.cpp
@@ -222,6 +222,42 @@
 			EXPECT_EQ(known.version, 9U);
 		}
 
+		// Guards against invalid classes that operators learn of only from requests served late, and against a line for
+		// each of thousands of routes.
+		TEST_F(store_reader_on_loopback, logs_one_line_for_a_configuration_with_invalid_classes)
+		{
+			const auto config = [](int version, std::string_view priority)
+			{
+				std::string routes;
+				for (int host = 1; host <= 200; ++host)
+				{
+					routes +=
+						fmt::format(R"({}{{"host":"198.18.0.{}","prefix":"/80/","service":"desk","priority":{}}})",
+									host == 1 ? "" : ",", host, priority);
+				}
+				return item("op/config", version, fmt::format(R"({{"version":{},"routes":[{}]}})", version, routes));
+			};
+			answers = {
+				{.status = 200, .body = fmt::format(R"({{"items":[{}],"has_more":false,"as_of":9}})", config(8, "1"))},
+				{.status = 200, .body = fmt::format(R"({{"events":[{}],"as_of":12}})", config(12, "\"high\""))},
+				{.status = 503, .body = {}}};
+			store_reader reader{loop, log, known, address, steering::record_group::operator_orders, 1};
+			::testing::internal::CaptureStdout();
+			read(reader);
+			const auto lines = ::testing::internal::GetCapturedStdout();
+			EXPECT_EQ(known.version, 12U);
+			const auto found = lines.find("class_invalid");
+			ASSERT_NE(found, std::string::npos) << lines;
+			EXPECT_EQ(lines.find("class_invalid", found + 1), std::string::npos) << lines;
+			const auto line = lines.substr(found, lines.find('\n', found) - found);
+			for (const auto* part :
+				 {R"("version":"12")", R"("routes":"200")",
+				  R"(route 198.18.0.1:80: priority: got \"high\", expected an integer from 0 to 255)"})
+			{
+				EXPECT_NE(line.find(part), std::string::npos) << line;
+			}
+		}
+
 		// Guards against resets of flows at a service that a route had in a version which this process never read: such
 		// flows are searched at the upstreams of all services.
 		TEST_F(store_reader_on_loopback, notes_versions_that_a_listing_skips)
