--- a/src/steering/admission_order.cpp
+++ b/src/steering/admission_order.cpp
@@ -92,9 +92,9 @@
 												monotonic_time now) noexcept
 		{
 			const auto less_urgent = waiting.count() - 1;
-			// Sum of `recent` while all slots are in use.
-			const double capacity =
-				std::max(slots, 1U) * milliseconds{std::chrono::seconds{1}}.count() / std::numbers::ln2;
+			// Sum of `recent` that one slot reaches while it is always in use.
+			constexpr double full_slot_ms = 1'000 / std::numbers::ln2;
+			const double capacity = std::max(slots, 1U) * full_slot_ms;
 			const double used = value_of(usage.recent, class_use_half_life, now);
 			if (less_urgent == 0 || used < least_compared_use * capacity)
 			{
