--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -4,6 +4,7 @@
 #include "nutmegturn/steering/message.hpp"
 #include "nutmegturn/steering/node_settings.hpp"
 
+#include "node/class_metrics.hpp"
 #include "node/status_server.hpp"
 #include "node/store_reader.hpp"
 
@@ -84,6 +85,7 @@
 		event_loop loop;
 		steering::catalog catalog;
 		metrics_shard metrics;
+		class_metrics metrics_by_class;
 		store_reader orders_reader;
 		store_reader upstreams_reader;
 		std::unique_ptr<http_connection> orders_relay;    ///< Reads orders from another process.
