Carry an upstream's outstanding work in load messages

Balancers know the load of an upstream as a count of requests only. load messages now may carry a work report after the store knowledge, and balancers keep it with its time of arrival. Earlier releases read the first 8 or 29 bytes of the packet and ignore the rest; messages without a whole report decode to none. Outstanding work is limited to 60 s when it is decoded, so that a false report has a bounded effect.

--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -3,8 +3,10 @@
 #include "nutmegturn/steering/catalog.hpp"
 #include "nutmegturn/steering/record_evidence.hpp"
 #include "nutmegturn/steering/segment.hpp"
+#include "nutmegturn/steering/work_report.hpp"
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -90,7 +92,7 @@
 		/// `open`, `flow_packet`, `probe`, `declined`, `not_held`: the caller's packet.
 		/// `held_flows`, `query`: encoded flows. `query_reply`: encoded answers.
 		/// `probe_relay`: the agents to probe and the caller's packet.
-		/// `subscribe`, `load`: encoded `store_knowledge`.
+		/// `subscribe`, `load`: encoded `store_knowledge`. `load`: followed by an encoded `work_report`.
 		std::span<const std::byte> packet;
 	};
 
@@ -172,6 +174,23 @@
 	/// revision only. The times are late by the time that the message took.
 	[[nodiscard]] store_knowledge decode_knowledge(std::span<const std::byte> bytes, monotonic_time now) noexcept;
 
+	/// Size of an encoded work report, in bytes.
+	inline constexpr std::size_t encoded_work_report_size = 12;
+
+	/// Largest outstanding work that is decoded. A false report thereby has a bounded effect on placements.
+	inline constexpr std::chrono::milliseconds max_outstanding_work{60'000};
+
+	/// Encodes a work report for the packet of a `load` message, where it follows the encoded knowledge. Values that do
+	/// not fit their field are sent as the largest or smallest one that does.
+	[[nodiscard]] std::array<std::byte, encoded_work_report_size>
+	encode_work_report(const work_report& report) noexcept;
+
+	/// Decodes the work report of a `load` message. An undefined priority decodes to none, and outstanding work is
+	/// limited to `max_outstanding_work`.
+	/// \param load_payload	Packet of the message.
+	/// \returns				Nothing if the message has no whole report, as those of earlier releases.
+	[[nodiscard]] std::optional<work_report> decode_work_report(std::span<const std::byte> load_payload) noexcept;
+
 	/// Returns the key of an availability zone.
 	[[nodiscard]] std::uint32_t key_of_zone(std::string_view name) noexcept;
 
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -207,6 +207,11 @@
 			load.report = msg.load;
 			load.reported_at = now;
 			load.flows_since_report = 0;
+			if (msg.kind == message_kind::load)
+			{
+				load.work = decode_work_report(msg.packet);
+				load.work_reported_at = now;
+			}
 			if (msg.kind == message_kind::held || msg.kind == message_kind::accepted ||
 				msg.kind == message_kind::declined)
 			{
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -98,6 +98,17 @@
 			return age == no_evidence ? record_evidence{} : record_evidence{newest, now - milliseconds{age}};
 		}
 
+		/// Field `waiting_priority` of a work report without waiting packets.
+		constexpr std::uint16_t no_priority = std::numeric_limits<std::uint16_t>::max();
+
+		/// Returns a duration in milliseconds, limited to the range of its field.
+		template <typename T>
+		[[nodiscard]] T saturate(std::chrono::milliseconds value) noexcept
+		{
+			constexpr std::chrono::milliseconds::rep largest = std::numeric_limits<T>::max();
+			return static_cast<T>(std::clamp<std::chrono::milliseconds::rep>(value.count(), 0, largest));
+		}
+
 		constexpr std::size_t load_fields_size = 12; ///< Includes `other_balancer`.
 
 		[[nodiscard]] bool comes_from_agent(message_kind kind) noexcept
@@ -226,6 +237,38 @@
 		return knowledge;
 	}
 
+	std::array<std::byte, encoded_work_report_size> encode_work_report(const work_report& report) noexcept
+	{
+		std::array<std::byte, encoded_work_report_size> bytes{};
+		writer to{.out = bytes};
+		to.put(saturate<std::uint32_t>(report.outstanding));
+		to.put(saturate<std::uint16_t>(report.mean_cost));
+		to.put(saturate<std::uint16_t>(report.cost_deviation));
+		to.put(report.waiting_priority ? std::uint16_t{*report.waiting_priority} : no_priority);
+		to.put(saturate<std::uint16_t>(report.opening_wait));
+		return bytes;
+	}
+
+	std::optional<work_report> decode_work_report(std::span<const std::byte> load_payload) noexcept
+	{
+		if (load_payload.size() < encoded_knowledge_size + encoded_work_report_size)
+		{
+			return std::nullopt;
+		}
+		reader in{.in = load_payload.subspan(encoded_knowledge_size)};
+		work_report report;
+		report.outstanding = std::min(std::chrono::milliseconds{in.take<std::uint32_t>()}, max_outstanding_work);
+		report.mean_cost = std::chrono::milliseconds{in.take<std::uint16_t>()};
+		report.cost_deviation = std::chrono::milliseconds{in.take<std::uint16_t>()};
+		const auto priority = in.take<std::uint16_t>();
+		if (priority <= lowest_priority)
+		{
+			report.waiting_priority = static_cast<std::uint8_t>(priority);
+			report.opening_wait = std::chrono::milliseconds{in.take<std::uint16_t>()};
+		}
+		return report;
+	}
+
 	std::vector<std::byte> encode_probe_relay(std::span<const ipv4> agents, std::span<const std::byte> packet)
 	{
 		std::vector<std::byte> bytes(1 + agents.size() * sizeof(std::uint32_t) + packet.size());
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -223,6 +223,30 @@
 			EXPECT_EQ(packet(it, true).what, action::reset);
 		}
 
+		// Guards against placements by the work of another message's packet, which has other contents, and against work
+		// that a restarted agent of an earlier release no longer reports.
+		TEST_F(steering_balancer, takes_work_from_load_messages_only)
+		{
+			const auto knowledge = encode_knowledge({}, now);
+			const auto report = encode_work_report({.outstanding = 400ms, .mean_cost = 50ms});
+			std::vector<std::byte> payload(knowledge.size() + report.size());
+			std::ranges::copy(report, std::ranges::copy(knowledge, payload.begin()).out);
+			auto it = about_flow(message_kind::query_reply);
+			it.packet = payload;
+			EXPECT_EQ(handle_agent_message(state, known, it, nullptr, instance(1), now).what, action::drop);
+			EXPECT_FALSE(state.loads.at(instance(1)).work);
+			it.kind = message_kind::load;
+			EXPECT_EQ(handle_agent_message(state, known, it, nullptr, instance(1), now).what, action::drop);
+			ASSERT_TRUE(state.loads.at(instance(1)).work);
+			EXPECT_EQ(state.loads.at(instance(1)).work->outstanding, 400ms);
+			EXPECT_EQ(state.loads.at(instance(1)).work_reported_at, now);
+			now += 50ms;
+			receive(message_kind::accepted, instance(1));
+			EXPECT_EQ(state.loads.at(instance(1)).work_reported_at, start);
+			receive_state(instance(1), admission_status::accepting);
+			EXPECT_FALSE(state.loads.at(instance(1)).work);
+		}
+
 		class steering_balancer_unknown_flow : public steering_balancer
 		{
 		};
--- a/tests/steering_message_test.cpp
+++ b/tests/steering_message_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 
 namespace nutmegturn::steering::testing
@@ -134,6 +135,110 @@
 				<< "rounded towards an older time";
 		}
 
+		/// Returns the packet of a `load` message with a work report.
+		[[nodiscard]] std::vector<std::byte> make_load_payload(const store_knowledge& knowledge,
+															   const work_report& report)
+		{
+			const auto first = encode_knowledge(knowledge, now);
+			const auto second = encode_work_report(report);
+			std::vector<std::byte> payload(first.size() + second.size());
+			std::ranges::copy(second, std::ranges::copy(first, payload.begin()).out);
+			return payload;
+		}
+
+		[[nodiscard]] work_report round_trip(const work_report& report)
+		{
+			return decode_work_report(make_load_payload({}, report)).value();
+		}
+
+		// Guards against a balancer that places flows by values of another field.
+		TEST(steering_message, round_trips_work_report)
+		{
+			const auto got = round_trip({.outstanding = 1'234ms,
+										 .mean_cost = 43ms,
+										 .cost_deviation = 17ms,
+										 .waiting_priority = 0,
+										 .opening_wait = 650ms});
+			EXPECT_EQ(got.outstanding, 1'234ms);
+			EXPECT_EQ(got.mean_cost, 43ms);
+			EXPECT_EQ(got.cost_deviation, 17ms);
+			EXPECT_EQ(got.waiting_priority, std::uint8_t{0}) << "the most urgent priority is not taken for none";
+			EXPECT_EQ(got.opening_wait, 650ms);
+			EXPECT_EQ(round_trip({}).waiting_priority, std::nullopt);
+		}
+
+		// Guards against an overloaded upstream that looks idle because its work exceeds the field.
+		TEST(steering_message, limits_values_of_work_report)
+		{
+			const auto most = round_trip({.outstanding = 10'000h,
+										  .mean_cost = 70'000ms,
+										  .cost_deviation = 70'000ms,
+										  .waiting_priority = lowest_priority,
+										  .opening_wait = 70'000ms});
+			EXPECT_EQ(most.outstanding, max_outstanding_work);
+			EXPECT_EQ(most.mean_cost, 65'535ms);
+			EXPECT_EQ(most.cost_deviation, 65'535ms);
+			EXPECT_EQ(most.waiting_priority, lowest_priority);
+			EXPECT_EQ(most.opening_wait, 65'535ms);
+			const auto least = round_trip({.outstanding = -1ms,
+										   .mean_cost = -1ms,
+										   .cost_deviation = -1ms,
+										   .waiting_priority = 1,
+										   .opening_wait = -1ms});
+			EXPECT_EQ(least.outstanding, 0ms);
+			EXPECT_EQ(least.mean_cost, 0ms);
+			EXPECT_EQ(least.cost_deviation, 0ms);
+			EXPECT_EQ(least.opening_wait, 0ms);
+		}
+
+		// Guards against priorities beyond the range, which would be taken for an urgent one.
+		TEST(steering_message, reads_undefined_priority_as_none)
+		{
+			auto payload = make_load_payload({}, {.waiting_priority = 3, .opening_wait = 100ms});
+			payload[encoded_knowledge_size + 9] = std::byte{1};
+			const auto got = decode_work_report(payload);
+			ASSERT_TRUE(got);
+			EXPECT_EQ(got->waiting_priority, std::nullopt);
+			EXPECT_EQ(got->opening_wait, 0ms);
+		}
+
+		// Guards against messages of earlier or truncated ones that decode to an idle upstream.
+		TEST(steering_message, has_no_work_report_unless_it_is_whole)
+		{
+			const auto payload = make_load_payload({}, {.mean_cost = 5ms});
+			for (std::size_t n = 0; n < payload.size(); ++n)
+			{
+				EXPECT_FALSE(decode_work_report(std::span{payload}.first(n))) << n;
+			}
+			EXPECT_TRUE(decode_work_report(payload));
+		}
+
+		// Guards against a rollout in which a process of an earlier release, which reads the first 8 or 29 bytes of the
+		// packet, loses what the message says of the store.
+		TEST(steering_message, leaves_knowledge_readable_for_earlier_releases)
+		{
+			const store_knowledge sent{.entry = {.era = 3, .number = 99},
+									   .orders = {.newest = {.era = 3, .number = 80}, .as_of = now - 700ms},
+									   .upstreams = {.newest = {.era = 3, .number = 99}, .as_of = now - 2ms},
+									   .pass_on = true};
+			const auto payload = make_load_payload(sent, {.outstanding = 5s, .mean_cost = 43ms});
+			auto msg = make_full_message(message_kind::load, payload);
+			std::vector<std::byte> buf(max_message_header_size + payload.size());
+			const auto got = decode_message(std::span{buf}.first(encode_message(msg, buf)));
+			ASSERT_TRUE(got);
+			constexpr std::size_t former_knowledge_size = 29;
+			for (const auto read : {got->packet, got->packet.first(former_knowledge_size)})
+			{
+				const auto knowledge = decode_knowledge(read, now);
+				EXPECT_EQ(knowledge.entry, sent.entry);
+				EXPECT_EQ(knowledge.orders.newest, sent.orders.newest);
+				EXPECT_EQ(knowledge.orders.as_of, sent.orders.as_of);
+				EXPECT_EQ(knowledge.upstreams.as_of, sent.upstreams.as_of);
+				EXPECT_TRUE(knowledge.pass_on);
+			}
+			EXPECT_EQ(decode_knowledge(got->packet.first(8), now).entry, sent.entry);
+		}
+
 		// Guards against probes to arbitrary instances from a truncated message.
 		TEST(steering_message, round_trips_probe_relay)
 		{
