Bound the effect of overload on placements

In an overload, callers retransmit opening packets that wait, and agents return those that waited in vain. Balancers placed each copy at another upstream, and each returned packet again until all upstreams had returned it, also long after the caller had given up.

A retransmission now follows the first copy to the agent where that waits. What a busy upstream returns is placed again within a budget for each priority, 10% of the openings of the last second plus 5, or where an upstream reports room; otherwise the flow is reset. Returned packets of callers that have gone are dropped. New flows are reset at once if all upstreams report a wait beyond the caller's timeout. A flow is not reset while an upstream that has not answered may have opened it; this now also holds after all upstreams were tried. Balancers whose agents report no work place flows as before.

--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -2,8 +2,10 @@
 
 #include "nutmegturn/reason.hpp"
 #include "nutmegturn/steering/message.hpp"
+#include "nutmegturn/steering/placement_budget.hpp"
 #include "nutmegturn/steering/upstream_choice.hpp"
 
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -17,6 +19,10 @@
 		std::vector<ipv4> tried;      ///< Instances that got the opening packet before `holder`.
 		std::vector<ipv4> unanswered; ///< Those of `tried` without an answer; one may have opened the flow.
 		monotonic_time last_used;
+		monotonic_time opened_at{};       ///< When the caller sent its first opening packet; the epoch if unknown.
+		std::uint32_t last_copy = 0;      ///< Number of the caller's last retransmission of that packet.
+		monotonic_time sent_at{};         ///< When `holder` was sent the opening packet last.
+		std::uint32_t copy_at_holder = 0; ///< Number of the retransmission that followed the packet there; 0 if none.
 	};
 
 	/// How a balancer handles a packet.
@@ -36,7 +42,9 @@
 		std::vector<ipv4> agents;
 		std::vector<ipv4> required;
 		reason why = reason::none;
-		std::string upstream_key; ///< Key of the entry by which a new flow was placed.
+		std::string upstream_key;                    ///< Key of the entry by which a new flow was placed.
+		std::optional<milliseconds> reported_wait{}; ///< `overloaded`: shortest wait that an upstream reports.
+		std::optional<milliseconds> report_age{};    ///< `overloaded`: age of the oldest of these reports.
 	};
 
 	/// State of a balancer.
@@ -46,22 +54,31 @@
 		monotonic_time started; ///< Start of the process.
 		std::unordered_map<flow_id, balancer_flow, flow_id_hash> flows;
 		load_table loads;
+		placement_budget budget{};
 	};
 
 	/// Capacity of a balancer's flow table. Flows beyond it are steered by search only.
 	inline constexpr std::size_t max_balancer_flows = 65'536;
 
+	/// Reports of work that are older carry no information.
+	inline constexpr milliseconds work_report_lifetime{1'000};
+
 	/// Decides where a caller's packet goes.
 	///
 	/// Load pattern: packets of one flow may arrive at any balancer, at any time, after any restart. For a flow that
 	/// this process does not know, the agents are queried for the holder. Only the holder accepts the packet, so
 	/// correctness does not depend on the flow table.
 	///
+	/// In an overload, a retransmitted opening packet follows the first one to the upstream where that waits, and a new
+	/// flow is rejected at once if all upstreams report that it would wait for longer than its caller does.
+	///
 	/// \param current	Whether the configuration is known to be up to date, so that an unknown route can be rejected.
 	[[nodiscard]] steering_decision steer_packet(balancer_state& state, const catalog& known, const segment& packet,
 												 monotonic_time now, bool current);
 
-	/// Handles an agent's message about its load or about a flow.
+	/// Handles an agent's message about its load or about a flow. A returned opening packet is placed again, unless its
+	/// caller has gone; one that a busy upstream returned only within the budget, or where an upstream reports room.
+	/// Agents of earlier releases report no work; what they return is placed again without a limit.
 	/// \param agent	Instance of the sender.
 	/// \param packet	For `declined` and `not_held`: the decoded packet that the upstream did not accept.
 	/// \returns		Where that packet goes next; `drop` without a reason if there is no packet.
