Log the class and the reported work with decisions of balancers

The lines flow_placed, flow_reset and packet_dropped did not show which class of requests was affected nor what the balancer knew of the upstream's work. They get class, flow_placed also outstanding_ms and report_age_ms, and a reset as overloaded wait_ms and report_age_ms.

--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <csignal>
+#include <iterator>
 
 namespace nutmegturn::node
 {
@@ -26,6 +27,7 @@
 		using steering::to_endpoint;
 		using steering::to_ipv4;
 		using steering::to_string;
+		using fields = node_log::fields;
 
 		constexpr std::size_t batch_size = 64;
 		constexpr std::size_t datagram_size = 2'048;
@@ -227,7 +229,7 @@
 						}
 						break;
 					case steering_decision::action::reset:
-						reset_flow(flow_of_caller(packet), packet.syn ? 0 : packet.acknowledgement, decision.why);
+						reset_flow(flow_of_caller(packet), packet.syn ? 0 : packet.acknowledgement, decision);
 						break;
 					case steering_decision::action::drop:
 						if (decision.why != reason::none)
@@ -241,7 +243,7 @@
 			void drop_packet(reason why, const steering::flow_id& flow)
 			{
 				node_.metrics.add(counter::packets_dropped, why);
-				log_flow(log_level::warning, "packet_dropped", "packet dropped", flow, to_string(why));
+				log_flow("packet_dropped", "packet dropped", flow, to_string(why), {});
 			}
 
 			void forward(const steering_decision& decision, std::span<const std::byte> bytes)
@@ -273,14 +275,33 @@
 				to_peers_->commit(to_endpoint({.ip = agent, .port = node_.settings.peer_port}), size);
 			}
 
-			void reset_flow(const steering::flow_id& flow, std::uint32_t sequence, reason why)
+			/// \param decision	The reset, with the values that determined it.
+			void reset_flow(const steering::flow_id& flow, std::uint32_t sequence, const steering_decision& decision)
 			{
 				const auto bytes = platform::encode_reset(flow, sequence);
 				to_callers_->add(to_endpoint({.ip = flow.caller.ip, .port = node_.settings.caller_packets.port}),
 								 bytes);
-				node_.metrics.add(counter::flows_rejected, why);
-				log_flow(log_level::warning, "flow_reset", "flow reset; reset sent to its caller", flow,
-						 to_string(why));
+				node_.metrics.add(counter::flows_rejected, decision.why);
+				fields values;
+				if (decision.reported_wait)
+				{
+					values.emplace_back("wait_ms", std::to_string(decision.reported_wait->count()));
+				}
+				if (decision.report_age)
+				{
+					values.emplace_back("report_age_ms", std::to_string(decision.report_age->count()));
+				}
+				log_flow("flow_reset", "flow reset; reset sent to its caller", flow, to_string(decision.why),
+						 std::move(values));
+			}
+
+			/// Returns the class of a route's requests as written in the log, such as `1/non_idempotent`.
+			[[nodiscard]] std::string class_of(const steering::ipv4_endpoint& address) const
+			{
+				const auto found = node_.catalog.routes.find(address);
+				const auto traffic =
+					found == node_.catalog.routes.end() ? steering::traffic_class{} : found->second.traffic;
+				return fmt::format("{}/{}", traffic.priority, to_string(traffic.kind));
 			}
 
 			void log_placement(const steering_decision& decision, const segment& packet)
@@ -289,29 +310,43 @@
 				const auto agent = decision.agents.front();
 				const auto& load = state_.loads[agent];
 				const bool reported = load.reported_at != monotonic_time{};
-				const auto age =
-					std::chrono::duration_cast<std::chrono::milliseconds>(node_.loop.now() - load.reported_at);
 				const auto flow = flow_of_caller(packet);
+				fields values{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+							  {"class", class_of(flow.route)},
+							  {"copy", std::to_string(packet.acknowledgement)},
+							  {"agent", to_string(agent)},
+							  {"entry", decision.upstream_key},
+							  {"at_work", std::to_string(load.report.requests_in_progress)},
+							  {"failing_percent", std::to_string(load.report.failure_percent)},
+							  {"load_age_ms", reported ? age_ms(load.reported_at) : "unknown"},
+							  {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
+							  {"version", std::to_string(node_.catalog.version)}};
+				if (load.work)
+				{
+					values.emplace_back("outstanding_ms", std::to_string(load.work->outstanding.count()));
+					values.emplace_back("report_age_ms", age_ms(load.work_reported_at));
+				}
 				node_.log.write(log_level::info, "flow_placed", "flow placed; opening packet sent to an agent",
-								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
-								 {"copy", std::to_string(packet.acknowledgement)},
-								 {"agent", to_string(agent)},
-								 {"entry", decision.upstream_key},
-								 {"at_work", std::to_string(load.report.requests_in_progress)},
-								 {"failing_percent", std::to_string(load.report.failure_percent)},
-								 {"load_age_ms", reported ? std::to_string(age.count()) : "unknown"},
-								 {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
-								 {"version", std::to_string(node_.catalog.version)}});
+								std::move(values));
+			}
+
+			[[nodiscard]] std::string age_ms(monotonic_time since) const
+			{
+				return std::to_string(
+					std::chrono::duration_cast<std::chrono::milliseconds>(node_.loop.now() - since).count());
 			}
 
-			void log_flow(log_level level, std::string_view event, std::string text, const steering::flow_id& flow,
-						  std::string_view why)
+			/// \param values	Values that determined the decision.
+			void log_flow(std::string_view event, std::string text, const steering::flow_id& flow, std::string_view why,
+						  fields values)
 			{
-				node_.log.write(level, event, std::move(text),
-								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
-								 {"reason", std::string{why}},
-								 {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
-								 {"version", std::to_string(node_.catalog.version)}});
+				fields all{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+						   {"class", class_of(flow.route)},
+						   {"reason", std::string{why}},
+						   {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
+						   {"version", std::to_string(node_.catalog.version)}};
+				std::ranges::move(values, std::back_inserter(all));
+				node_.log.write(log_level::warning, event, std::move(text), std::move(all));
 			}
 
 			/// Sends the first `subscribe` messages when the catalog has been read, so that all agents send the flows
@@ -471,8 +506,13 @@
 				state_,
 				{.send_packet = [this](ipv4 agent, message_kind kind, std::span<const std::byte> bytes)
 				 { send_packet(agent, kind, bytes); },
-				 .reset_flow = [this](const steering::flow_id& flow, std::uint32_t sequence, reason why)
-				 { reset_flow(flow, sequence, why); }}};
+				 .reset_flow =
+					 [this](const steering::flow_id& flow, std::uint32_t sequence, reason why)
+				 {
+					 steering_decision decision;
+					 decision.why = why;
+					 reset_flow(flow, sequence, decision);
+				 }}};
 			unrouted_packets unrouted_{node_,
 									   [this](std::span<const std::byte> bytes) { steer_unrouted_packet(bytes); }};
 			status_server status_;
