--- a/tests/placement_overload_test.cpp
+++ b/tests/placement_overload_test.cpp
@@ -14,7 +14,9 @@
 
 		constexpr std::uint32_t upstream_count = 8;
 		constexpr std::uint32_t slots = 3;
+		constexpr std::size_t full_requests = std::size_t{2} * slots; ///< From which opening packets wait.
 		constexpr milliseconds cost{43};
+		constexpr std::size_t served_per_second = std::size_t{slots} * 1'000 / std::size_t{cost.count()};
 		constexpr double capacity = 1'000.0 * upstream_count * slots / cost.count(); ///< Requests per second.
 
 		[[nodiscard]] catalog make_catalog(const traffic_class& traffic)
@@ -177,7 +179,7 @@
 				{
 					same->packet = packet;
 				}
-				else if (it.ends.size() >= 2 * slots)
+				else if (it.ends.size() >= full_requests)
 				{
 					it.waiting.push_back({.packet = packet, .balancer = callers[id].balancer, .since = now});
 				}
@@ -213,7 +215,7 @@
 			{
 				auto& it = upstreams[index];
 				std::erase_if(it.ends, [this](auto end) { return end <= now; });
-				while (!it.waiting.empty() && it.ends.size() < 2 * slots)
+				while (!it.waiting.empty() && it.ends.size() < full_requests)
 				{
 					const auto next = it.waiting.back();
 					it.waiting.pop_back();
@@ -314,7 +316,8 @@
 			const auto burst = world.run(5s, 1.3);
 			world.run(2s, 0.7);
 			const auto after = world.run(1s, 0.7);
-			const auto budget = second_placement_share * double(burst.first) + 4 * 6 * second_placement_reserve;
+			constexpr std::uint32_t reserves = 4 * 6; // Of each balancer, in each second that the burst touches.
+			const auto budget = second_placement_share * double(burst.first) + reserves * second_placement_reserve;
 			EXPECT_GT(burst.waits, 0U) << "the load is a burst";
 			EXPECT_LE(double(burst.second), budget);
 			EXPECT_NEAR(double(after.first), double(before.first), 0.02 * double(before.first));
@@ -345,7 +348,7 @@
 			world.upstreams[0].service_time = cost;
 			world.upstreams[0].most_openings = 0;
 			(void)world.run(3s, 1.1);
-			EXPECT_LE(world.upstreams[0].most_openings, slots * 1'000 / cost.count());
+			EXPECT_LE(world.upstreams[0].most_openings, served_per_second);
 		}
 
 		// Guards against urgent callers that are rejected since the budget is spent although an upstream has room.
