Report the outstanding work and the mean request cost of an upstream

The agent records each request where its first data packet goes to the upstream, learns its cost where its response begins, and discards it where its flow ends or its upstream is lost. make_work_report returns the sum of the remaining work, and the mean cost and its deviation once 8 requests have been learned. Requests whose beginning this process did not see, and resets, are not learned from.

--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegturn/steering/opening_queue.hpp"
+#include "nutmegturn/steering/outstanding_work.hpp"
 #include "nutmegturn/steering/store_follower.hpp"
 #include "nutmegturn/steering/upstream_gate.hpp"
 #include "nutmegturn/steering/work_report.hpp"
@@ -112,6 +113,9 @@
 		std::size_t requests_in_progress = 0;       ///< Flows with a request in progress.
 		std::deque<monotonic_time> recent_openings; ///< Flows opened shortly before, without a request yet.
 		opening_queue queue;
+		request_costs costs;     ///< Learned since this process started.
+		outstanding_work work;   ///< Requests that were delivered to the upstream.
+		std::uint32_t slots = 0; ///< Of the upstream, when the last request was delivered; 0 if unknown.
 		std::unordered_map<ipv4, known_balancer> balancers; ///< Keyed by instance.
 		double failure_ratio = 0;          ///< Moving average of the share of requests that the upstream reset.
 		monotonic_time failure_ratio_at{}; ///< Last update of `failure_ratio`.
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -67,11 +67,12 @@
 			}
 		}
 
-		void erase_flow(agent_state& state, const flow_id& id)
+		void erase_flow(agent_state& state, const flow_id& id, monotonic_time now)
 		{
 			const auto found = state.flows.find(id);
 			if (found != state.flows.end())
 			{
+				discard_request(state.work, id, state.slots, now);
 				set_request_in_progress(state, found->second, false);
 				state.flows.erase(found);
 			}
@@ -118,12 +119,15 @@
 		}
 
 		/// Records new data of the caller. The request is in progress until the upstream sends data.
-		void record_caller_data(agent_state& state, agent_flow& flow, const segment& packet)
+		/// \returns	Whether the packet carries new data.
+		bool record_caller_data(agent_state& state, agent_flow& flow, const segment& packet)
 		{
 			flow.acknowledgement = packet.acknowledgement;
 			flow.caller_closed = flow.caller_closed || packet.fin;
 			const std::uint32_t end = packet.sequence + packet.payload_size;
-			if (packet.payload_size > 0 && (!flow.sequence_known || is_sequence_after(end, flow.highest_sequence)))
+			const bool is_new =
+				packet.payload_size > 0 && (!flow.sequence_known || is_sequence_after(end, flow.highest_sequence));
+			if (is_new)
 			{
 				flow.highest_sequence = end;
 				flow.sequence_known = true;
@@ -131,6 +135,23 @@
 				record_first_request(state, flow);
 				set_request_in_progress(state, flow, true);
 			}
+			return is_new;
+		}
+
+		/// Returns the number of the upstream's slots, or 0 if it is unknown.
+		[[nodiscard]] std::uint32_t known_slots(const upstream_gate& gate, const catalog& known)
+		{
+			const auto* own = own_upstream(gate, known);
+			return own == nullptr ? 0 : std::max(own->entry.slots, 1U);
+		}
+
+		/// Removes the answered request from the upstream's work and learns its cost.
+		void record_answer(agent_state& state, const flow_id& id, monotonic_time now)
+		{
+			if (const auto answered = record_response(state.work, id, state.slots, now))
+			{
+				record_cost(state.costs, answered->route, answered->size, answered->cost, now);
+			}
 		}
 
 		/// Updates the failure ratio, since an upstream can fail part of its requests while its health check succeeds.
@@ -288,7 +309,7 @@
 				reply_to_waiting_balancers(decision, found->second, id, message_kind::not_held,
 										   admission_status::accepting, !from_probe);
 			}
-			erase_flow(state, id);
+			erase_flow(state, id, now);
 			return decision;
 		}
 	}
@@ -308,7 +329,12 @@
 		{
 			return decision;
 		}
-		record_caller_data(state, *flow, packet);
+		const bool first_packet_seen = flow->opened_here || flow->sequence_known;
+		if (record_caller_data(state, *flow, packet))
+		{
+			state.slots = known_slots(state.gate, known);
+			record_request_packet(state.work, id, first_packet_seen, state.slots, now);
+		}
 		flow->opening_packet.clear();
 		flow->last_balancer = balancer;
 		flow->from_probe = msg.kind == message_kind::probe && flow->stage == flow_stage::unconfirmed;
@@ -326,7 +352,7 @@
 		}
 		if (packet.rst)
 		{
-			erase_flow(state, id);
+			erase_flow(state, id, now);
 		}
 		return decision;
 	}
@@ -398,7 +424,7 @@
 		}
 		if (packet.rst)
 		{
-			erase_flow(state, id);
+			erase_flow(state, id, now);
 			return decision;
 		}
 		flow->from_probe = false;
@@ -408,10 +434,12 @@
 		if (packet.payload_size > 0 && flow->request_in_progress)
 		{
 			decision.response_time = now - flow->request_started;
+			record_answer(state, id, now);
 		}
 		if (packet.payload_size > 0 || packet.fin)
 		{
 			set_request_in_progress(state, *flow, false);
+			discard_request(state.work, id, state.slots, now);
 		}
 		flow->upstream_closed = flow->upstream_closed || packet.fin;
 		const auto kind = flow->stage == flow_stage::open ? message_kind::held : message_kind::accepted;
@@ -435,6 +463,7 @@
 		}
 		state.flows.clear();
 		state.requests_in_progress = 0;
+		state.work = {};
 		state.recent_openings.clear();
 		state.knows_all_flows = true;
 		mark_refused(state.gate, now);
@@ -528,10 +557,20 @@
 		return report;
 	}
 
-	work_report make_work_report([[maybe_unused]] const agent_state& state, [[maybe_unused]] const catalog& known,
-								 [[maybe_unused]] monotonic_time now)
+	work_report make_work_report(const agent_state& state, [[maybe_unused]] const catalog& known, monotonic_time now)
 	{
-		return {};
+		work_report report;
+		const auto expected = expected_cost(state.costs);
+		const auto waiting = expected.mean * static_cast<double>(state.queue.waiting.size());
+		report.outstanding = std::chrono::round<milliseconds>(
+			std::min(remaining_work(state.work, state.costs, now) + waiting, max_outstanding));
+		if (is_reportable(state.costs))
+		{
+			// A reported mean of 0 stands for an unknown one.
+			report.mean_cost = std::max(std::chrono::round<milliseconds>(expected.mean), milliseconds{1});
+			report.cost_deviation = std::chrono::round<milliseconds>(expected.deviation);
+		}
+		return report;
 	}
 
 	std::vector<ipv4> load_report_recipients(agent_state& state, const load_report& report, std::uint32_t slots,
@@ -570,6 +609,7 @@
 			if (idle_time > retention || (is_closed(it->second) && idle_time > closed_retention))
 			{
 				set_request_in_progress(state, it->second, false);
+				discard_request(state.work, it->first, state.slots, now);
 				it = state.flows.erase(it);
 			}
 			else
@@ -577,6 +617,7 @@
 				++it;
 			}
 		}
+		discard_overdue_requests(state.work, state.slots, now);
 		std::erase_if(state.balancers,
 					  [now](const auto& it) { return now - it.second.last_heard > subscription_lifetime; });
 	}
--- a/tests/steering_request_cost_test.cpp
+++ b/tests/steering_request_cost_test.cpp
@@ -26,7 +26,7 @@
 			return costs;
 		}
 
-		/// Guards against a mean that one size or route takes from another one, and an estimate of 0 for a new route.
+		// Guards against a mean that one size or route takes from another one, and an estimate of 0 for a new route.
 		TEST(steering_request_cost, is_learned_by_route_and_size)
 		{
 			auto costs = learned(route_address, 10ms, 20);
@@ -37,7 +37,7 @@
 			EXPECT_EQ(expected_cost(request_costs{}).mean, assumed_cost);
 		}
 
-		/// Guards against an estimate that follows a change of the cost too slowly or follows each single request.
+		// Guards against an estimate that follows a change of the cost too slowly or follows each single request.
 		TEST(steering_request_cost, halves_weight_of_the_past_in_64_requests_or_10_seconds)
 		{
 			auto costs = learned(route_address, 10ms, 1'000);
@@ -53,7 +53,7 @@
 			EXPECT_NEAR(after_pause.all.weight, weight / 2 + 1, 1);
 		}
 
-		/// Guards against an estimate that claims to be certain after few requests.
+		// Guards against an estimate that claims to be certain after few requests.
 		TEST(steering_request_cost, becomes_more_certain_with_more_requests)
 		{
 			request_costs few;
@@ -67,7 +67,7 @@
 			EXPECT_NEAR(expected_cost(many).deviation.count(), 10, 1);
 		}
 
-		/// Guards against a table that grows with the number of routes, and one request that spoils the mean for good.
+		// Guards against a table that grows with the number of routes, and one request that spoils the mean for good.
 		TEST(steering_request_cost, is_bounded)
 		{
 			request_costs costs;
@@ -82,8 +82,8 @@
 			EXPECT_EQ(expected_cost(costs, other_route, request_size::single_packet).mean, max_request_cost);
 		}
 
-		/// Guards against time in the upstream's queue that is learned as cost: with one slot, three requests that are
-		/// delivered together would seem to cost 10, 20 and 30 ms.
+		// Guards against time in the upstream's queue that is learned as cost: with one slot, three requests that are
+		// delivered together would seem to cost 10, 20 and 30 ms.
 		TEST(steering_outstanding_work, tells_service_time_from_time_in_the_queue)
 		{
 			outstanding_work work;
@@ -99,7 +99,7 @@
 			}
 		}
 
-		/// Guards against costs learned from requests whose start is not known.
+		// Guards against costs learned from requests whose start is not known.
 		TEST(steering_outstanding_work, does_not_measure_requests_with_unknown_start)
 		{
 			outstanding_work work;
@@ -112,7 +112,7 @@
 			EXPECT_EQ(work.started, 0U);
 		}
 
-		/// Guards against slots that stay taken when flows end without a response.
+		// Guards against slots that stay taken when flows end without a response.
 		TEST(steering_outstanding_work, starts_queued_request_when_a_flow_ends)
 		{
 			outstanding_work work;
@@ -125,7 +125,7 @@
 			EXPECT_EQ(answered->cost, 15ms);
 		}
 
-		/// Guards against a lost response that holds a slot forever.
+		// Guards against a lost response that holds a slot forever.
 		TEST(steering_outstanding_work, forgets_requests_after_ten_seconds)
 		{
 			outstanding_work work;
@@ -138,8 +138,8 @@
 			EXPECT_TRUE(work.requests.front().started);
 		}
 
-		/// Guards against work that shrinks to nothing while a request runs for longer than expected, as on an upstream
-		/// that became slow, and against work that grows without bound when it hangs.
+		// Guards against work that shrinks to nothing while a request runs for longer than expected, as on an upstream
+		// that became slow, and against work that grows without bound when it hangs.
 		TEST(steering_outstanding_work, grows_while_requests_overrun)
 		{
 			const auto costs = learned(route_address, 40ms, 300);
@@ -152,8 +152,8 @@
 			EXPECT_NEAR(remaining_work(work, costs, start + 9s).count(), 540, 2);
 		}
 
-		/// Guards against a route of cheap requests that is counted like one of expensive requests, and a later packet
-		/// of a request that counts as another request.
+		// Guards against a route of cheap requests that is counted like one of expensive requests, and a later packet
+		// of a request that counts as another request.
 		TEST(steering_outstanding_work, counts_each_request_with_the_cost_of_its_route_and_size)
 		{
 			auto costs = learned(route_address, 10ms, 300);
@@ -168,5 +168,37 @@
 			EXPECT_EQ(work.requests.size(), 2U);
 			EXPECT_NEAR(remaining_work(work, costs, start).count(), 110, 2);
 		}
+
+		// Guards against a work report without the agent's requests, against one whose mean is learned from requests
+		// that were reset, and against work that remains after flows have ended.
+		TEST(steering_work_report, has_work_and_cost_of_the_requests_at_the_upstream)
+		{
+			const auto known = small_catalog();
+			agent_state state;
+			state.gate.instance = instance(1);
+			state.gate.zone = "a";
+			state.gate.service = key_of_service("desk");
+			const auto send = [&](message_kind kind, const segment& packet, monotonic_time at)
+			{ return handle_balancer_packet(state, known, about_flow(kind), packet, ipv4{9}, at).to_upstream; };
+			ASSERT_TRUE(send(message_kind::open, opening(), start));
+			auto now = start;
+			for (std::uint32_t i = 0; i < 8; ++i)
+			{
+				EXPECT_EQ(make_work_report(state, known, now).mean_cost, 0ms) << "too few requests";
+				ASSERT_TRUE(send(message_kind::flow_packet, data(1 + 100 * i), now));
+				EXPECT_GT(make_work_report(state, known, now).outstanding, 0ms);
+				now += 20ms;
+				EXPECT_TRUE(handle_upstream_packet(state, reply(50), now).response_time);
+				EXPECT_EQ(make_work_report(state, known, now).outstanding, 0ms);
+			}
+			EXPECT_EQ(make_work_report(state, known, now).mean_cost, 20ms);
+			ASSERT_TRUE(send(message_kind::flow_packet, data(901), now));
+			EXPECT_EQ(make_work_report(state, known, now).outstanding, 20ms);
+			auto reset = reply(0);
+			reset.rst = true;
+			EXPECT_TRUE(handle_upstream_packet(state, reset, now + 500ms).to_caller);
+			EXPECT_EQ(make_work_report(state, known, now).outstanding, 0ms);
+			EXPECT_EQ(make_work_report(state, known, now).mean_cost, 20ms);
+		}
 	}
 }
