--- a/src/steering/outstanding_work.cpp
+++ b/src/steering/outstanding_work.cpp
@@ -41,7 +41,8 @@
 			}
 		}
 
-		void remove_request(outstanding_work& work, request_iterator request, std::uint32_t slots, monotonic_time now)
+		void remove_request(outstanding_work& work, const request_iterator& request, std::uint32_t slots,
+							monotonic_time now)
 		{
 			work.started -= request->started ? 1 : 0;
 			work.requests.erase(request);
