--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -84,8 +85,10 @@
 		std::map<std::string, std::uint64_t> ended_evacuations; ///< Revision number of the last one by key.
 		std::map<std::string, monotonic_time> evacuation_ended; ///< Time when the evacuation ended, by zone.
 		std::map<service_key, std::vector<const known_upstream*>> by_service; ///< Each list in the order of keys.
-		std::map<ipv4_endpoint, std::vector<known_upstream*>> by_address;     ///< Each list in the order of keys.
-		std::map<std::string, store_revision> revisions;                      ///< Newest known revision of each key.
+		/// Upstreams of each service by zone; each list in the order of keys.
+		std::map<service_key, std::map<std::string, std::vector<const known_upstream*>, std::less<>>> by_service_zone;
+		std::map<ipv4_endpoint, std::vector<known_upstream*>> by_address; ///< Each list in the order of keys.
+		std::map<std::string, store_revision> revisions;                  ///< Newest known revision of each key.
 		store_revision orders_revision;       ///< Newest revision of the group `operator_orders`.
 		std::array<group_era, 2> eras;        ///< By `record_group`.
 		std::uint64_t unreadable_records = 0; ///< Records ignored because they could not be decoded.
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -128,7 +128,7 @@
 		void record_opening_sent(balancer_state& state, ipv4 agent, monotonic_time now)
 		{
 			auto& load = state.loads[agent];
-			++load.flows_since_report;
+			record_placement(load, now);
 			if (load.unanswered_since == monotonic_time{} || now - load.unanswered_since > unanswered_backoff)
 			{
 				load.unanswered_since = now;
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -26,6 +26,7 @@
 		void add_to_index(catalog& known, known_upstream& upstream)
 		{
 			insert_by_key(known.by_service[upstream.service], upstream);
+			insert_by_key(known.by_service_zone[upstream.service][upstream.entry.zone], upstream);
 			insert_by_key(known.by_address[upstream.entry.address], upstream);
 		}
 
@@ -43,10 +44,12 @@
 		void rebuild_index(catalog& known)
 		{
 			known.by_service.clear();
+			known.by_service_zone.clear();
 			known.by_address.clear();
 			for (auto& [key, it] : known.upstreams)
 			{
 				known.by_service[it.service].push_back(&it);
+				known.by_service_zone[it.service][it.entry.zone].push_back(&it);
 				known.by_address[it.entry.address].push_back(&it);
 			}
 			for (const auto& [address, upstreams] : known.by_address)
@@ -86,7 +89,8 @@
 			const auto [found, added] = known.upstreams.try_emplace(record.key);
 			auto& upstream = found->second;
 			const auto service = key_of_service(entry.service);
-			const bool moved = !added && (upstream.service != service || upstream.entry.address != entry.address);
+			const bool moved = !added && (upstream.service != service || upstream.entry.address != entry.address ||
+										  upstream.entry.zone != entry.zone);
 			const bool same_run = !added && upstream.entry.started_at_ms == entry.started_at_ms;
 			upstream = {.key = record.key,
 						.entry = entry,
