Start urgent requests first at a busy upstream

Opening packets of a service with priorities now go by choose_next. They do not wait for less urgent requests, unless the upstream would reject theirs. They leave the queue when their caller has gone, or when their turn cannot come in time. Waiting packets are returned, delivered or dropped when the agent stops, pauses or finds its upstream gone. A service whose routes have one priority keeps its order.

--- a/include/nutmegturn/reason.hpp
+++ b/include/nutmegturn/reason.hpp
@@ -52,6 +52,7 @@
 		all_declined,
 		holder_gone,
 		not_for_callers,
+		caller_gone,
 		count
 	};
 
@@ -71,7 +72,7 @@
 			"not_current",   "paused",           "idle",
 			"stopping",      "malformed",        "conflict",
 			"no_route",      "route_unknown",    "all_declined",
-			"holder_gone",   "not_for_callers"};
+			"holder_gone",   "not_for_callers",  "caller_gone"};
 	}
 
 	/// Returns the name used in metrics, logs and the audit log.
--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -1,11 +1,13 @@
 #pragma once
 
 #include "nutmegturn/steering/opening_queue.hpp"
+#include "nutmegturn/steering/request_queue.hpp"
 #include "nutmegturn/steering/store_follower.hpp"
 #include "nutmegturn/steering/upstream_gate.hpp"
 #include "nutmegturn/steering/work_report.hpp"
 
 #include <deque>
+#include <map>
 #include <optional>
 #include <unordered_map>
 #include <vector>
@@ -24,11 +26,15 @@
 	struct agent_flow
 	{
 		flow_stage stage = flow_stage::unconfirmed;
-		monotonic_time request_started;     ///< Arrival of the request in progress.
-		bool request_in_progress = false;   ///< The caller sent data and the upstream has not answered with data yet.
-		bool caller_closed = false;         ///< The caller sent FIN.
-		bool upstream_closed = false;       ///< The upstream sent FIN.
-		bool sequence_known = false;        ///< `highest_sequence` is valid.
+		monotonic_time request_started;   ///< Arrival of the request in progress.
+		bool request_in_progress = false; ///< The caller sent data and the upstream has not answered with data yet.
+		bool request_delivered = false;   ///< The request in progress was forwarded to the upstream.
+		bool slot_time_recorded = false;  ///< The first request is in `agent_state::usage` since the flow's admission.
+		monotonic_time delivered_at;      ///< When the request in progress was forwarded.
+		double rounds = 1;                ///< Slot times in its time at the upstream, with those before it.
+		bool caller_closed = false;       ///< The caller sent FIN.
+		bool upstream_closed = false;     ///< The upstream sent FIN.
+		bool sequence_known = false;      ///< `highest_sequence` is valid.
 		std::uint32_t highest_sequence = 0; ///< End of the caller's newest data.
 		std::uint32_t acknowledgement = 0;  ///< The caller's newest; a reset needs a sequence number near it.
 		monotonic_time added_at;            ///< Creation of this entry.
@@ -84,6 +90,7 @@
 		bool waits = false;                                     ///< Add the opening packet to `agent_state::queue`.
 		std::optional<monotonic_clock::duration> response_time; ///< Set for the first data of a response.
 		std::vector<agent_reply> replies;
+		std::vector<queued_packet> before; ///< Packets of the flow that waited; to forward before this one.
 	};
 
 	/// What an agent sends after its upstream's port refused a packet.
@@ -91,6 +98,43 @@
 	{
 		std::vector<flow_reset> resets;
 		std::vector<agent_reply> replies;
+		std::vector<waiting_opening> returned; ///< Opening packets that waited, to return to their balancers.
+	};
+
+	/// What an agent sends when it stops.
+	struct stop_decision
+	{
+		std::vector<waiting_opening> returned; ///< To return to their balancers.
+		std::vector<queued_packet> delivered;  ///< To forward to the upstream, in this order.
+	};
+
+	/// Waiting opening packets that leave the queue without being forwarded.
+	struct opening_queue_decision
+	{
+		std::vector<waiting_opening> returned;  ///< The upstream is too busy, or takes no new flows.
+		std::vector<waiting_opening> abandoned; ///< Their callers have gone.
+	};
+
+	/// Number of packets that were dropped because they waited during a pause of the process.
+	struct dropped_packets
+	{
+		std::size_t openings = 0;
+		std::size_t flow_packets = 0;
+	};
+
+	/// Request that was forwarded and is not answered.
+	struct unanswered_request
+	{
+		flow_id flow;
+		std::uint8_t priority = lowest_priority;
+		monotonic_time at;
+	};
+
+	/// Times of a process's loop, by which pauses are found.
+	struct loop_times
+	{
+		monotonic_time last_iteration{};
+		std::chrono::nanoseconds suspended{0}; ///< Time in which the machine was suspended, at the last iteration.
 	};
 
 	/// Load report that was sent to a group of balancers.
@@ -109,10 +153,15 @@
 		monotonic_time last_sweep{};    ///< Last call of `sweep_flows`, or zero.
 		bool upstream_is_older = false; ///< The upstream sent a packet of a flow from before this process started.
 		std::unordered_map<flow_id, agent_flow, flow_id_hash> flows;
-		std::size_t requests_in_progress = 0;       ///< Flows with a request in progress.
+		std::size_t requests_in_progress = 0;       ///< Flows with a request in progress, waiting ones included.
+		std::vector<unanswered_request> unanswered; ///< Recent ones, in order of time. Use `count_delivered_requests`.
 		std::deque<monotonic_time> recent_openings; ///< Flows opened shortly before, without a request yet.
 		opening_queue queue;
-		std::unordered_map<ipv4, known_balancer> balancers; ///< Keyed by instance.
+		request_queue requests;
+		admission_usage usage;
+		std::chrono::duration<double, std::milli> mean_cost{0};    ///< Mean slot time of a request; 0 if unknown.
+		std::map<std::uint8_t, monotonic_time> returned_as_full{}; ///< Last return of an opening packet by priority.
+		std::unordered_map<ipv4, known_balancer> balancers;        ///< Keyed by instance.
 		double failure_ratio = 0;          ///< Moving average of the share of requests that the upstream reset.
 		monotonic_time failure_ratio_at{}; ///< Last update of `failure_ratio`.
 		sent_report near_report;           ///< Last one to the balancers of the agent's zone.
@@ -130,6 +179,45 @@
 	/// agent, which can reorder them. With an unknown number of slots none wait.
 	[[nodiscard]] bool is_saturated(const agent_state& state, const catalog& known, monotonic_time now);
 
+	/// Returns the number of requests that were forwarded and are not answered. Those that were forwarded long ago do
+	/// not count: an upstream that hangs, or a response that this process missed, must not block the others.
+	[[nodiscard]] std::size_t count_delivered_requests(const agent_state& state, monotonic_time now);
+
+	/// Returns an opening packet as it waits in `agent_state::queue`.
+	[[nodiscard]] waiting_opening make_waiting_opening(const agent_state& state, const catalog& known,
+													   const message& msg, const segment& packet, ipv4 balancer,
+													   monotonic_time now);
+
+	/// Removes and returns the waiting opening packet that is to be forwarded now, if any.
+	[[nodiscard]] std::optional<waiting_opening> take_admissible_opening(agent_state& state, const catalog& known,
+																		 monotonic_time now);
+
+	/// Removes and returns the opening packets that do not wait any longer.
+	[[nodiscard]] opening_queue_decision take_expired_openings(agent_state& state, const catalog& known,
+															   monotonic_time now);
+
+	/// Records that an opening packet was returned because the upstream is busy, for `make_work_report`.
+	void record_returned_as_full(agent_state& state, const waiting_opening& opening, monotonic_time now);
+
+	/// Removes and returns the waiting packets of open flows that are to be forwarded now, in this order. Call it after
+	/// packets of the upstream and at `next_request_deadline`.
+	[[nodiscard]] std::vector<queued_packet> take_due_requests(agent_state& state, const catalog& known,
+															   monotonic_time now);
+
+	/// Makes the agent take no new flows, since the process ends. Waiting requests are forwarded: they would be lost
+	/// with the process.
+	[[nodiscard]] stop_decision handle_stop(agent_state& state, const catalog& known, monotonic_time now);
+
+	/// Drops all waiting packets after a pause of the process: their callers have sent them anew or given up. What was
+	/// dropped counts as not received.
+	dropped_packets handle_pause(agent_state& state);
+
+	/// Records an iteration of the process's loop.
+	/// \param suspended	Time in which the machine was suspended so far.
+	/// \returns			Whether the process was paused before this iteration.
+	[[nodiscard]] bool record_iteration(loop_times& times, monotonic_time now,
+										std::chrono::nanoseconds suspended) noexcept;
+
 	/// Answers a balancer's query for the holders of flows.
 	[[nodiscard]] std::vector<flow_answer> answer_query(const agent_state& state, std::span<const flow_id> flows);
 
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -36,6 +36,9 @@
 		/// Interval of checks of the waiting opening packets while there are any.
 		constexpr auto queue_check_interval = 20ms;
 
+		/// Largest error of a reading of the suspended time, which takes three readings of clocks.
+		constexpr auto max_reading_time = 10ms;
+
 		/// Interval of sweeps for idle flows.
 		constexpr auto sweep_interval = 1s;
 
@@ -68,6 +71,22 @@
 			return reason::none;
 		}
 
+		/// Returns the time since the machine's start in which it was suspended, or nothing if the process was
+		/// interrupted while it read the clocks.
+		[[nodiscard]] std::optional<std::chrono::nanoseconds> read_suspended_time() noexcept
+		{
+			const auto read = [](clockid_t clock) -> std::chrono::nanoseconds
+			{
+				timespec time{};
+				::clock_gettime(clock, &time);
+				return std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec};
+			};
+			const auto before = read(CLOCK_MONOTONIC);
+			const auto with_suspension = read(CLOCK_BOOTTIME);
+			const auto after = read(CLOCK_MONOTONIC);
+			return after - before < max_reading_time ? std::optional{with_suspension - before} : std::nullopt;
+		}
+
 		class agent_node
 		{
 		public:
@@ -137,8 +156,28 @@
 				return node_.respond(path, node_.loaded() && !state_.gate.stopping, state_.flows.size());
 			}
 
+			/// Drops what waited if the process was paused. Call it before anything that may forward waiting packets.
+			void check_for_pause()
+			{
+				const auto suspended = read_suspended_time().value_or(loop_times_.suspended);
+				if (!record_iteration(loop_times_, node_.loop.now(), suspended))
+				{
+					return;
+				}
+				const auto dropped = handle_pause(state_);
+				if (const auto n = dropped.openings + dropped.flow_packets; n > 0)
+				{
+					node_.metrics.add(counter::packets_dropped, reason::paused, n);
+					node_.log.write(log_level::warning, "waiting_dropped",
+									"process was paused; packets that waited for the upstream dropped",
+									{{"openings", std::to_string(dropped.openings)},
+									 {"flow_packets", std::to_string(dropped.flow_packets)}});
+				}
+			}
+
 			void read_peers()
 			{
+				check_for_pause();
 				const auto n = batch_.receive(peers_.get());
 				for (std::size_t i = 0; i < n; ++i)
 				{
@@ -170,7 +209,8 @@
 				}
 			}
 
-			void handle_packet(const message& msg, ipv4 balancer)
+			/// \param waited	Time for which the packet waited at this agent.
+			void handle_packet(const message& msg, ipv4 balancer, monotonic_clock::duration waited = {})
 			{
 				const auto packet = platform::decode_packet(msg.packet);
 				if (!packet)
@@ -184,24 +224,21 @@
 					enqueue_opening(msg, *packet, balancer);
 					return;
 				}
-				apply_decision(decision, *packet, msg.packet);
+				deliver(decision.before);
+				apply_decision(decision, *packet, msg.packet, waited);
+				schedule_request_check();
 			}
 
 			void enqueue_opening(const message& msg, const segment& packet, ipv4 balancer)
 			{
 				const auto now = node_.loop.now();
 				const auto evicted =
-					add_opening(state_.queue, {.flow = flow_of_caller(packet),
-											   .balancer = balancer,
-											   .service = msg.service,
-											   .version = msg.version,
-											   .packet = {msg.packet.begin(), msg.packet.end()},
-											   .opened_at = now - steering::age_of_copy(packet.acknowledgement),
-											   .queued_at = now});
+					add_opening(state_.queue, make_waiting_opening(state_, node_.catalog, msg, packet, balancer, now));
 				if (evicted)
 				{
 					return_opening(*evicted);
 				}
+				return_expired_openings();
 				schedule_queue_check();
 			}
 
@@ -211,44 +248,90 @@
 				const auto now = node_.loop.now();
 				const auto status = current_admission_status(state_.gate, node_.catalog, now);
 				const bool admits = admits_new_flows(state_.gate, node_.catalog, now);
-				const steering::agent_reply reply{.balancer = opening.balancer,
-												  .kind = message_kind::declined,
-												  .flow = opening.flow,
-												  .why = admits ? steering::admission_status::full : status,
-												  .with_packet = true};
-				log_decline(reply);
-				send(reply.balancer, reply.kind, reply.flow, make_load_report(state_, node_.catalog, now),
-					 opening.packet);
+				const auto why = admits ? steering::admission_status::full : status;
+				if (admits)
+				{
+					record_returned_as_full(state_, opening, now);
+				}
+				log_decline(opening.flow, to_string(why), rejection_reason(why), now - opening.queued_at);
+				send_declined(opening);
 			}
 
-			/// Returns all waiting opening packets, so that no caller waits for an upstream that takes no new flows or
-			/// for a process that ends.
-			void return_all_openings()
+			/// Drops a packet whose caller has gone. Its balancer learns that the flow is not open here, and does not
+			/// place it again.
+			void drop_abandoned(const steering::waiting_opening& opening)
 			{
-				while (const auto opening = take_newest_opening(state_.queue))
-				{
-					return_opening(*opening);
-				}
+				log_decline(opening.flow, to_string(reason::caller_gone), reason::caller_gone,
+							node_.loop.now() - opening.queued_at);
+				send_declined(opening);
+			}
+
+			void send_declined(const steering::waiting_opening& opening)
+			{
+				send(opening.balancer, message_kind::declined, opening.flow,
+					 make_load_report(state_, node_.catalog, node_.loop.now()), opening.packet);
+			}
+
+			void return_expired_openings()
+			{
+				const auto expired = take_expired_openings(state_, node_.catalog, node_.loop.now());
+				std::ranges::for_each(expired.returned, [this](const auto& it) { return_opening(it); });
+				std::ranges::for_each(expired.abandoned, [this](const auto& it) { drop_abandoned(it); });
 			}
 
-			/// Forwards waiting opening packets, the newest first, while the upstream can start their requests.
+			/// Forwards waiting opening packets while the upstream can start their requests.
 			void forward_waiting_openings()
 			{
 				const auto now = node_.loop.now();
-				while (!state_.queue.waiting.empty() && !is_saturated(state_, node_.catalog, now))
+				while (const auto opening = take_admissible_opening(state_, node_.catalog, now))
 				{
-					const auto opening = take_newest_opening(state_.queue);
-					node_.metrics.observe(distribution::queue_seconds,
-										  std::chrono::duration<double>{now - opening->queued_at}.count());
+					const auto waited = now - opening->queued_at;
+					node_.metrics.observe(distribution::queue_seconds, std::chrono::duration<double>{waited}.count());
 					message msg;
 					msg.kind = message_kind::open;
 					msg.service = opening->service;
 					msg.version = opening->version;
 					msg.packet = opening->packet;
-					handle_packet(msg, opening->balancer);
+					handle_packet(msg, opening->balancer, waited);
+				}
+			}
+
+			/// Forwards packets of open flows to the upstream.
+			void deliver(std::span<const steering::queued_packet> packets)
+			{
+				for (const auto& it : packets)
+				{
+					if (const auto packet = platform::decode_packet(it.bytes))
+					{
+						send_to_upstream(*packet, it.bytes, node_.loop.now() - it.queued_at);
+					}
 				}
 			}
 
+			/// Forwards the waiting requests that the upstream can start, and those that have waited for long.
+			void forward_waiting_requests()
+			{
+				deliver(take_due_requests(state_, node_.catalog, node_.loop.now()));
+				schedule_request_check();
+			}
+
+			void schedule_request_check()
+			{
+				const auto deadline = next_request_deadline(state_.requests);
+				if (request_check_scheduled_ || !deadline)
+				{
+					return;
+				}
+				request_check_scheduled_ = true;
+				node_.loop.call_at(*deadline,
+								   [this]
+								   {
+									   check_for_pause();
+									   request_check_scheduled_ = false;
+									   forward_waiting_requests();
+								   });
+			}
+
 			void schedule_queue_check()
 			{
 				if (queue_check_scheduled_ || state_.queue.waiting.empty())
@@ -261,15 +344,9 @@
 
 			void check_queue()
 			{
+				check_for_pause();
 				queue_check_scheduled_ = false;
-				if (!admits_new_flows(state_.gate, node_.catalog, node_.loop.now()))
-				{
-					return_all_openings();
-				}
-				for (const auto& opening : take_overdue_openings(state_.queue, node_.loop.now()))
-				{
-					return_opening(opening);
-				}
+				return_expired_openings();
 				forward_waiting_openings();
 				schedule_queue_check();
 			}
@@ -361,6 +438,7 @@
 
 			void read_outbound()
 			{
+				check_for_pause();
 				const auto n = batch_.receive(outbound_.get());
 				for (std::size_t i = 0; i < n; ++i)
 				{
@@ -376,6 +454,7 @@
 					}
 					apply_decision(handle_upstream_packet(state_, *packet, node_.loop.now()), *packet, bytes);
 				}
+				forward_waiting_requests();
 				forward_waiting_openings();
 			}
 
@@ -399,10 +478,11 @@
 				{
 					if (reply.kind == message_kind::declined)
 					{
-						log_decline(reply);
+						log_decline(reply.flow, to_string(reply.why), rejection_reason(reply.why), {});
 					}
 					send(reply.balancer, reply.kind, reply.flow, load, reply.packet);
 				}
+				std::ranges::for_each(decision.returned, [this](const auto& it) { return_opening(it); });
 				if (first_refusal)
 				{
 					node_.log.write(log_level::warning, "upstream_refused",
@@ -411,7 +491,17 @@
 				}
 			}
 
-			void apply_decision(const agent_decision& decision, const segment& packet, std::span<const std::byte> bytes)
+			void send_to_upstream(const segment& packet, std::span<const std::byte> bytes,
+								  monotonic_clock::duration waited)
+			{
+				node_.metrics.add(counter::packets_received);
+				log_admission(packet, waited);
+				log_request(packet, bytes, waited);
+				to_upstream_->add(to_endpoint(node_.settings.upstream), bytes);
+			}
+
+			void apply_decision(const agent_decision& decision, const segment& packet, std::span<const std::byte> bytes,
+								monotonic_clock::duration waited = {})
 			{
 				if (decision.response_time)
 				{
@@ -420,10 +510,7 @@
 				}
 				if (decision.to_upstream)
 				{
-					node_.metrics.add(counter::packets_received);
-					log_admission(packet);
-					log_request(packet, bytes);
-					to_upstream_->add(to_endpoint(node_.settings.upstream), bytes);
+					send_to_upstream(packet, bytes, waited);
 				}
 				if (decision.to_caller)
 				{
@@ -434,7 +521,7 @@
 					const auto load = make_load_report(state_, node_.catalog, node_.loop.now());
 					if (reply.kind == message_kind::declined)
 					{
-						log_decline(reply);
+						log_decline(reply.flow, to_string(reply.why), rejection_reason(reply.why), waited);
 					}
 					send(reply.balancer, reply.kind, reply.flow, load,
 						 reply.with_packet ? bytes : std::span<const std::byte>{});
@@ -442,7 +529,7 @@
 			}
 
 			/// Logs that an opening packet goes to the upstream, with the entry that allows it.
-			void log_admission(const segment& packet)
+			void log_admission(const segment& packet, monotonic_clock::duration waited)
 			{
 				if (!packet.syn)
 				{
@@ -451,8 +538,11 @@
 				const auto now = node_.loop.now();
 				const auto* own = own_upstream(state_.gate, node_.catalog);
 				const auto flow = flow_of_caller(packet);
+				record_admission_by_class(flow.route, waited);
 				node_.log.write(log_level::info, "flow_admitted", "flow admitted; opening packet sent to the upstream",
 								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+								 {"class", class_text(flow.route)},
+								 {"wait_ms", duration_ms(waited)},
 								 {"entry", own == nullptr ? "unknown" : own->key},
 								 {"entry_age_ms", own == nullptr ? "unknown" : age_ms(own->changed_at, now)},
 								 {"store_answer_age_ms", age_ms(node_.upstreams_reader.state().last_answer, now)},
@@ -461,13 +551,31 @@
 								 {"version", std::to_string(node_.catalog.version)}});
 			}
 
+			[[nodiscard]] static std::string duration_ms(monotonic_clock::duration duration)
+			{
+				return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+			}
+
 			[[nodiscard]] static std::string age_ms(monotonic_time since, monotonic_time now)
 			{
-				return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - since).count());
+				return duration_ms(now - since);
+			}
+
+			[[nodiscard]] std::string class_text(const steering::ipv4_endpoint& route) const
+			{
+				const auto traffic = traffic_class_of(node_.catalog, route);
+				return fmt::format("{}/{}", traffic.priority, to_string(traffic.kind));
+			}
+
+			void record_admission_by_class(const steering::ipv4_endpoint& route, monotonic_clock::duration waited)
+			{
+				const auto traffic = traffic_class_of(node_.catalog, route);
+				node_.metrics_by_class.record_admitted(traffic);
+				node_.metrics_by_class.record_wait(traffic, waited);
 			}
 
 			/// Logs the id of a request with its flow. The id is read for logging only.
-			void log_request(const segment& packet, std::span<const std::byte> bytes)
+			void log_request(const segment& packet, std::span<const std::byte> bytes, monotonic_clock::duration waited)
 			{
 				const auto id = packet.payload_size > 0 ? platform::find_request_id(bytes) : std::string_view{};
 				if (id.empty())
@@ -476,22 +584,31 @@
 				}
 				const auto flow = flow_of_caller(packet);
 				node_.metrics.add(counter::requests_received);
+				record_admission_by_class(flow.route, waited);
 				node_.log.write(log_level::info, "request_delivered", "request delivered to the upstream",
 								{{"request", std::string{id}},
 								 {"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+								 {"class", class_text(flow.route)},
+								 {"wait_ms", duration_ms(waited)},
 								 {"at_work", std::to_string(state_.requests_in_progress)},
 								 {"version", std::to_string(node_.catalog.version)}});
 			}
 
-			void log_decline(const steering::agent_reply& reply)
+			void log_decline(const steering::flow_id& flow, std::string_view why, reason counted,
+							 monotonic_clock::duration waited)
 			{
-				node_.metrics.add(counter::flows_rejected, rejection_reason(reply.why));
-				node_.log.write(
-					log_level::info, "flow_declined", "flow declined; opening packet returned to the balancer",
-					{{"flow", fmt::format("{}>{}", to_string(reply.flow.caller), to_string(reply.flow.route))},
-					 {"reason", std::string{to_string(reply.why)}},
-					 {"at_work", std::to_string(state_.requests_in_progress)},
-					 {"version", std::to_string(node_.catalog.version)}});
+				const auto traffic = traffic_class_of(node_.catalog, flow.route);
+				node_.metrics.add(counter::flows_rejected, counted);
+				node_.metrics_by_class.record_declined(traffic, counted);
+				node_.metrics_by_class.record_wait(traffic, waited);
+				node_.log.write(log_level::info, "flow_declined",
+								"flow declined; opening packet returned to the balancer",
+								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
+								 {"reason", std::string{why}},
+								 {"class", class_text(flow.route)},
+								 {"wait_ms", duration_ms(waited)},
+								 {"at_work", std::to_string(state_.requests_in_progress)},
+								 {"version", std::to_string(node_.catalog.version)}});
 			}
 
 			void send_to_caller(ipv4 caller, std::span<const std::byte> bytes)
@@ -582,8 +699,10 @@
 					node_.loop.stop();
 					return;
 				}
-				state_.gate.stopping = true;
-				return_all_openings();
+				check_for_pause();
+				const auto decision = handle_stop(state_, node_.catalog, node_.loop.now());
+				std::ranges::for_each(decision.returned, [this](const auto& it) { return_opening(it); });
+				deliver(decision.delivered);
 				const auto report = make_load_report(state_, node_.catalog, node_.loop.now());
 				for (const auto& [balancer, heard] : state_.balancers)
 				{
@@ -596,6 +715,7 @@
 
 			void flush()
 			{
+				check_for_pause();
 				to_upstream_->flush();
 				to_callers_->flush();
 				to_peers_->flush();
@@ -613,7 +733,9 @@
 			std::optional<runtime::send_batch> to_peers_;
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_upstream_;
+			steering::loop_times loop_times_;
 			bool queue_check_scheduled_ = false;
+			bool request_check_scheduled_ = false;
 			steering::store_revision newest_entry_revision_; ///< Of the own upstream, according to any process.
 			steering::record_evidence heard_of_upstreams_;   ///< Latest evidence of a balancer, of the whole group.
 		};
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <iterator>
 #include <limits>
-#include <map>
+#include <utility>
 
 namespace nutmegturn::steering
 {
@@ -58,12 +59,57 @@
 			return flow.caller_closed && flow.upstream_closed;
 		}
 
-		void set_request_in_progress(agent_state& state, agent_flow& flow, bool request_in_progress) noexcept
+		/// Delivered requests that are unanswered for longer than this, and for longer than `stale_costs` mean costs,
+		/// do not count.
+		constexpr milliseconds stale_request_age{500};
+		constexpr double stale_costs = 10;
+
+		/// Delivered requests beyond the upstream's slots from which less urgent ones wait: one is at hand for the slot
+		/// that becomes free next.
+		constexpr std::size_t requests_at_hand = 1;
+
+		/// Slot time that is assumed for the requests of an upstream without history.
+		constexpr milliseconds assumed_cost{50};
+
+		/// How long the return of an opening packet shows that its priority waits.
+		constexpr milliseconds full_memory{500};
+
+		/// Longest time between two iterations of a process's loop that is not a pause. Timers run every 100 ms.
+		constexpr std::chrono::seconds longest_iteration_gap{1};
+
+		/// Longest suspension of the machine that is not a pause.
+		constexpr milliseconds longest_suspension{100};
+
+		/// Weight of one request in the mean cost, which spans about the last 64 requests.
+		constexpr double cost_weight = 1.0 / 64;
+
+		[[nodiscard]] milliseconds expected_cost(const agent_state& state)
 		{
-			if (flow.request_in_progress != request_in_progress)
+			return state.mean_cost.count() > 0 ? std::chrono::round<milliseconds>(state.mean_cost) : assumed_cost;
+		}
+
+		/// Returns the time before which delivered requests do not count.
+		[[nodiscard]] monotonic_time oldest_counted_delivery(const agent_state& state, monotonic_time now)
+		{
+			return now - std::max(stale_request_age, std::chrono::round<milliseconds>(stale_costs * state.mean_cost));
+		}
+
+		void set_request_in_progress(agent_state& state, const flow_id& id, agent_flow& flow, bool request_in_progress)
+		{
+			if (flow.request_in_progress == request_in_progress)
 			{
-				flow.request_in_progress = request_in_progress;
-				state.requests_in_progress += request_in_progress ? 1 : std::size_t(-1);
+				return;
+			}
+			flow.request_in_progress = request_in_progress;
+			state.requests_in_progress += request_in_progress ? 1 : std::size_t(-1);
+			if (flow.request_delivered)
+			{
+				flow.request_delivered = false;
+				const auto found = std::ranges::find(state.unanswered, id, &unanswered_request::flow);
+				if (found != state.unanswered.end())
+				{
+					state.unanswered.erase(found);
+				}
 			}
 		}
 
@@ -72,7 +118,8 @@
 			const auto found = state.flows.find(id);
 			if (found != state.flows.end())
 			{
-				set_request_in_progress(state, found->second, false);
+				set_request_in_progress(state, id, found->second, false);
+				take_packets(state.requests, id);
 				state.flows.erase(found);
 			}
 		}
@@ -81,10 +128,6 @@
 		/// caller and some delay.
 		constexpr milliseconds first_request_window{30};
 
-		/// Requests in progress, as a multiple of the upstream's slots, from which opening packets wait at the agent:
-		/// while it is not reached, an upstream has a request at hand for each slot that becomes free.
-		constexpr std::size_t queued_requests_ratio = 2;
-
 		void record_opening(agent_state& state, agent_flow& flow, monotonic_time now)
 		{
 			while (!state.recent_openings.empty() && now - state.recent_openings.front() > first_request_window)
@@ -118,8 +161,10 @@
 		}
 
 		/// Records new data of the caller. The request is in progress until the upstream sends data.
-		void record_caller_data(agent_state& state, agent_flow& flow, const segment& packet)
+		/// \returns	Whether the packet starts a request.
+		bool record_caller_data(agent_state& state, const flow_id& id, agent_flow& flow, const segment& packet)
 		{
+			const bool was_in_progress = flow.request_in_progress;
 			flow.acknowledgement = packet.acknowledgement;
 			flow.caller_closed = flow.caller_closed || packet.fin;
 			const std::uint32_t end = packet.sequence + packet.payload_size;
@@ -129,8 +174,9 @@
 				flow.sequence_known = true;
 				flow.request_started = flow.request_in_progress ? flow.request_started : flow.last_used;
 				record_first_request(state, flow);
-				set_request_in_progress(state, flow, true);
+				set_request_in_progress(state, id, flow, true);
 			}
+			return flow.request_in_progress && !was_in_progress;
 		}
 
 		/// Updates the failure ratio, since an upstream can fail part of its requests while its health check succeeds.
@@ -167,6 +213,149 @@
 			return found == state.balancers.end() ? 0 : found->second.zone;
 		}
 
+		[[nodiscard]] std::uint32_t zone_of_balancer(const agent_state& state, ipv4 balancer)
+		{
+			const auto found = state.balancers.find(balancer);
+			return found == state.balancers.end() ? 0 : found->second.zone;
+		}
+
+		/// Returns the priority of a route, which is the same for all routes of a service without priorities.
+		[[nodiscard]] std::uint8_t priority_of_route(const agent_state& state, const catalog& known,
+													 const ipv4_endpoint& route)
+		{
+			return has_priorities(known, state.gate.service) ? traffic_class_of(known, route).priority
+															 : lowest_priority;
+		}
+
+		/// Records the expected slot time of a request that the upstream starts soon.
+		void record_slot_time(agent_state& state, const catalog& known, const flow_id& id, ipv4 balancer,
+							  monotonic_time now)
+		{
+			if (has_priorities(known, state.gate.service))
+			{
+				const admission_candidate candidate{.priority = priority_of_route(state, known, id.route),
+													.zone = zone_of_balancer(state, balancer),
+													.caller = id.caller.ip,
+													.since = now};
+				record_admission(state.usage, candidate, expected_cost(state), now);
+			}
+		}
+
+		/// Records that a request goes to the upstream.
+		void record_request_delivery(agent_state& state, const catalog& known, const flow_id& id, agent_flow& flow,
+									 monotonic_time now)
+		{
+			const auto counted = std::ranges::lower_bound(state.unanswered, oldest_counted_delivery(state, now), {},
+														  &unanswered_request::at);
+			state.unanswered.erase(state.unanswered.begin(), counted);
+			flow.request_delivered = true;
+			flow.delivered_at = now;
+			const auto* own = own_upstream(state.gate, known);
+			flow.rounds = own == nullptr ? 1.0
+										 : 1.0 + std::floor(static_cast<double>(state.unanswered.size()) /
+															static_cast<double>(std::max(own->entry.slots, 1U)));
+			state.unanswered.push_back({.flow = id, .priority = priority_of_route(state, known, id.route), .at = now});
+		}
+
+		/// Records a delivery and its slot time, unless the admission of the flow has recorded that already.
+		void record_delivery_and_slot_time(agent_state& state, const catalog& known, const flow_id& id,
+										   agent_flow& flow, monotonic_time now)
+		{
+			record_request_delivery(state, known, id, flow, now);
+			if (!flow.slot_time_recorded)
+			{
+				record_slot_time(state, known, id, flow.last_balancer, now);
+			}
+			flow.slot_time_recorded = false;
+		}
+
+		/// Learns from a response. The upstream serves requests in order, so a request's time there includes the slot
+		/// time of those before it.
+		void learn_cost(agent_state& state, const agent_flow& flow, monotonic_time now)
+		{
+			const std::chrono::duration<double, std::milli> cost{(now - flow.delivered_at) / flow.rounds};
+			const bool first = state.mean_cost.count() <= 0;
+			state.mean_cost += (first ? 1.0 : cost_weight) * (cost - state.mean_cost);
+		}
+
+		/// Takes the packets of a flow that are to be forwarded.
+		void deliver_flow(agent_state& state, const catalog& known, const flow_id& id,
+						  std::vector<queued_packet>& delivered, monotonic_time now)
+		{
+			std::ranges::move(take_packets(state.requests, id), std::back_inserter(delivered));
+			if (const auto found = state.flows.find(id); found != state.flows.end())
+			{
+				record_delivery_and_slot_time(state, known, id, found->second, now);
+			}
+		}
+
+		/// Returns whether a request that arrives waits.
+		[[nodiscard]] bool must_wait(const agent_state& state, const catalog& known, const flow_id& id,
+									 const agent_flow& flow, monotonic_time now)
+		{
+			const auto service = state.gate.service;
+			const auto* own = own_upstream(state.gate, known);
+			// A packet of a flow that this upstream may not hold is not delayed: its balancer looks for the holder.
+			if (own == nullptr || state.gate.stopping || flow.stage == flow_stage::unconfirmed ||
+				!has_priorities(known, service) ||
+				traffic_class_of(known, id.route).priority <= most_urgent_priority(known, service))
+			{
+				return false;
+			}
+			return count_delivered_requests(state, now) >= std::max(own->entry.slots, 1U) + requests_at_hand;
+		}
+
+		/// Decides whether a packet of a flow is forwarded or waits.
+		/// \param starts_request	The packet's data begins a request.
+		void queue_or_forward(agent_state& state, const catalog& known, const message& msg, const segment& packet,
+							  agent_flow& flow, bool starts_request, agent_decision& decision, monotonic_time now)
+		{
+			const auto id = flow_of_caller(packet);
+			const bool behind = has_waiting_packets(state.requests, id);
+			if (!behind && starts_request && !must_wait(state, known, id, flow, now))
+			{
+				record_delivery_and_slot_time(state, known, id, flow, now);
+				return;
+			}
+			if ((!behind && !starts_request) || (packet.payload_size == 0 && !packet.fin))
+			{
+				return;
+			}
+			const auto result = add_packet(state.requests, {.flow = id,
+															.sequence = packet.sequence,
+															.payload_size = packet.payload_size,
+															.fin = packet.fin,
+															.starts_request = starts_request,
+															.priority = priority_of_route(state, known, id.route),
+															.zone = zone_of_balancer(state, flow.last_balancer),
+															.queued_at = now,
+															.bytes = {msg.packet.begin(), msg.packet.end()}});
+			decision.to_upstream = result == queue_result::full;
+			if (decision.to_upstream)
+			{
+				deliver_flow(state, known, id, decision.before, now);
+			}
+		}
+
+		/// Returns the work of the upstream before waiting opening packets, or nothing if its slots are unknown.
+		[[nodiscard]] std::optional<work_ahead> find_work_ahead(const agent_state& state, const catalog& known,
+																monotonic_time now)
+		{
+			const auto* own = own_upstream(state.gate, known);
+			if (own == nullptr)
+			{
+				return std::nullopt;
+			}
+			work_ahead ahead{.slots = std::max(own->entry.slots, 1U),
+							 .mean_cost = expected_cost(state),
+							 .requests = state.requests_in_progress + requests_due(state, now),
+							 .delivered = {},
+							 .waiting_requests = priorities_of_requests(state.requests)};
+			std::ranges::transform(state.unanswered, std::back_inserter(ahead.delivered),
+								   &unanswered_request::priority);
+			return ahead;
+		}
+
 		[[nodiscard]] agent_flow* find_or_add_flow(agent_state& state, const flow_id& id, monotonic_time now)
 		{
 			const auto found = state.flows.find(id);
@@ -190,11 +379,15 @@
 			const auto status =
 				retransmission ? admission_status::accepting
 							   : admit_opening(state.gate, known, msg.service, msg.version, packet.destination, now);
-			if (status == admission_status::accepting && !retransmission && is_saturated(state, known, now))
+			const auto ahead = find_work_ahead(state, known, now);
+			if (status == admission_status::accepting && !retransmission && ahead &&
+				is_saturated_for(*ahead, priority_of_route(state, known, packet.destination)))
 			{
 				decision.waits = true;
 				return decision;
 			}
+			// A copy of a packet that waits is handled in its place.
+			remove_opening(state.queue, id);
 			auto* flow = status == admission_status::accepting ? find_or_add_flow(state, id, now) : nullptr;
 			if (flow == nullptr)
 			{
@@ -211,6 +404,8 @@
 			if (!flow->opened_here)
 			{
 				record_opening(state, *flow, now);
+				record_slot_time(state, known, id, balancer, now);
+				flow->slot_time_recorded = true;
 			}
 			flow->opened_here = true;
 			if (flow->stage == flow_stage::unconfirmed)
@@ -303,12 +498,16 @@
 		agent_decision decision;
 		const auto id = flow_of_caller(packet);
 		decision.to_upstream = true;
+		if (packet.rst)
+		{
+			remove_opening(state.queue, id);
+		}
 		auto* flow = find_or_add_flow(state, id, now);
 		if (flow == nullptr)
 		{
 			return decision;
 		}
-		record_caller_data(state, *flow, packet);
+		const bool starts_request = record_caller_data(state, id, *flow, packet);
 		flow->opening_packet.clear();
 		flow->last_balancer = balancer;
 		flow->from_probe = msg.kind == message_kind::probe && flow->stage == flow_stage::unconfirmed;
@@ -327,19 +526,143 @@
 		if (packet.rst)
 		{
 			erase_flow(state, id);
+			return decision;
 		}
+		queue_or_forward(state, known, msg, packet, *flow, starts_request, decision, now);
 		return decision;
 	}
 
 	bool is_saturated(const agent_state& state, const catalog& known, monotonic_time now)
 	{
+		const auto ahead = find_work_ahead(state, known, now);
+		return ahead && is_saturated_for(*ahead, lowest_priority);
+	}
+
+	std::size_t count_delivered_requests(const agent_state& state, monotonic_time now)
+	{
+		const auto first = std::ranges::lower_bound(state.unanswered, oldest_counted_delivery(state, now), {},
+													&unanswered_request::at);
+		return static_cast<std::size_t>(state.unanswered.end() - first);
+	}
+
+	waiting_opening make_waiting_opening(const agent_state& state, const catalog& known, const message& msg,
+										 const segment& packet, ipv4 balancer, monotonic_time now)
+	{
+		return {.flow = flow_of_caller(packet),
+				.balancer = balancer,
+				.service = msg.service,
+				.version = msg.version,
+				.packet = {msg.packet.begin(), msg.packet.end()},
+				.opened_at = now - age_of_copy(packet.acknowledgement),
+				.queued_at = now,
+				.copy = packet.acknowledgement,
+				.timeout = traffic_class_of(known, packet.destination).timeout,
+				.priority = priority_of_route(state, known, packet.destination),
+				.zone = zone_of_balancer(state, balancer)};
+	}
+
+	std::optional<waiting_opening> take_admissible_opening(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		const auto ahead = find_work_ahead(state, known, now);
+		if (!ahead || !has_priorities(known, state.gate.service))
+		{
+			return ahead && is_saturated_for(*ahead, lowest_priority) ? std::nullopt : take_newest_opening(state.queue);
+		}
+		return take_next_opening(state.queue, state.usage, *ahead, now);
+	}
+
+	opening_queue_decision take_expired_openings(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		opening_queue_decision decision;
+		decision.abandoned = take_abandoned_openings(state.queue, now);
+		if (!admits_new_flows(state.gate, known, now))
+		{
+			decision.returned = std::exchange(state.queue.waiting, {});
+			return decision;
+		}
+		decision.returned = take_overdue_openings(state.queue, now);
+		const auto ahead = find_work_ahead(state, known, now);
+		if (ahead && has_priorities(known, state.gate.service))
+		{
+			std::ranges::move(take_hopeless_openings(state.queue, *ahead, now), std::back_inserter(decision.returned));
+		}
+		return decision;
+	}
+
+	void record_returned_as_full(agent_state& state, const waiting_opening& opening, monotonic_time now)
+	{
+		state.returned_as_full[opening.priority] = now;
+	}
+
+	std::vector<queued_packet> take_due_requests(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		std::vector<queued_packet> due;
 		const auto* own = own_upstream(state.gate, known);
-		if (own == nullptr)
+		const bool orders = own != nullptr && has_priorities(known, state.gate.service);
+		const auto slots = own == nullptr ? 1 : std::max(own->entry.slots, 1U);
+		while (!state.requests.waiting.empty())
+		{
+			auto next = find_overdue_flow(state.requests, now);
+			if (!next && (!orders || count_delivered_requests(state, now) < slots + requests_at_hand))
+			{
+				next = choose_waiting_flow(state.requests, state.usage, slots, now);
+			}
+			if (!next)
+			{
+				break;
+			}
+			deliver_flow(state, known, *next, due, now);
+		}
+		return due;
+	}
+
+	stop_decision handle_stop(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		state.gate.stopping = true;
+		stop_decision decision;
+		decision.returned = std::exchange(state.queue.waiting, {});
+		for (auto& packet : std::exchange(state.requests.waiting, {}))
 		{
-			return false;
+			const auto found = state.flows.find(packet.flow);
+			if (packet.starts_request && found != state.flows.end())
+			{
+				record_request_delivery(state, known, packet.flow, found->second, now);
+			}
+			decision.delivered.push_back(std::move(packet));
 		}
-		return state.requests_in_progress + requests_due(state, now) >=
-			   queued_requests_ratio * std::max(own->entry.slots, 1U);
+		return decision;
+	}
+
+	dropped_packets handle_pause(agent_state& state)
+	{
+		const dropped_packets dropped{.openings = state.queue.waiting.size(),
+									  .flow_packets = state.requests.waiting.size()};
+		state.queue.waiting.clear();
+		for (const auto& packet : std::exchange(state.requests.waiting, {}))
+		{
+			const auto found = state.flows.find(packet.flow);
+			if (found == state.flows.end())
+			{
+				continue;
+			}
+			auto& flow = found->second;
+			if (packet.starts_request)
+			{
+				flow.highest_sequence = packet.sequence;
+				set_request_in_progress(state, packet.flow, flow, false);
+			}
+			flow.caller_closed = flow.caller_closed && !packet.fin;
+		}
+		return dropped;
+	}
+
+	bool record_iteration(loop_times& times, monotonic_time now, std::chrono::nanoseconds suspended) noexcept
+	{
+		const bool first = times.last_iteration == monotonic_time{};
+		const bool paused =
+			now - times.last_iteration >= longest_iteration_gap || suspended - times.suspended >= longest_suspension;
+		times = {.last_iteration = now, .suspended = suspended};
+		return paused && !first;
 	}
 
 	std::vector<flow_answer> answer_query(const agent_state& state, std::span<const flow_id> flows)
@@ -392,7 +715,7 @@
 			state.watched_since = now;
 			return decision;
 		}
-		if (flow->request_in_progress && (packet.rst || packet.payload_size > 0))
+		if (flow->request_delivered && (packet.rst || packet.payload_size > 0))
 		{
 			update_failure_ratio(state, packet.rst, now);
 		}
@@ -405,13 +728,15 @@
 		flow->opening_packet.clear();
 		state.upstream_is_older = state.upstream_is_older || !flow->opened_here;
 		flow->stage = packet.syn ? std::max(flow->stage, flow_stage::half_open) : flow_stage::open;
-		if (packet.payload_size > 0 && flow->request_in_progress)
+		if (packet.payload_size > 0 && flow->request_delivered)
 		{
-			decision.response_time = now - flow->request_started;
+			decision.response_time = now - flow->delivered_at;
+			learn_cost(state, *flow, now);
 		}
-		if (packet.payload_size > 0 || packet.fin)
+		// A request that waits cannot have been answered; the packet belongs to an earlier response.
+		if ((packet.payload_size > 0 || packet.fin) && flow->request_delivered)
 		{
-			set_request_in_progress(state, *flow, false);
+			set_request_in_progress(state, id, *flow, false);
 		}
 		flow->upstream_closed = flow->upstream_closed || packet.fin;
 		const auto kind = flow->stage == flow_stage::open ? message_kind::held : message_kind::accepted;
@@ -435,6 +760,9 @@
 		}
 		state.flows.clear();
 		state.requests_in_progress = 0;
+		state.unanswered.clear();
+		state.requests.waiting.clear();
+		decision.returned = std::exchange(state.queue.waiting, {});
 		state.recent_openings.clear();
 		state.knows_all_flows = true;
 		mark_refused(state.gate, now);
@@ -528,10 +856,32 @@
 		return report;
 	}
 
-	work_report make_work_report([[maybe_unused]] const agent_state& state, [[maybe_unused]] const catalog& known,
-								 [[maybe_unused]] monotonic_time now)
+	work_report make_work_report(const agent_state& state, const catalog& known, monotonic_time now)
 	{
-		return {};
+		work_report report;
+		const auto ahead = find_work_ahead(state, known, now);
+		if (!ahead || !has_priorities(known, state.gate.service))
+		{
+			return report;
+		}
+		const auto take_if_smaller = [&report](std::uint8_t priority)
+		{ report.waiting_priority = std::min(report.waiting_priority.value_or(priority), priority); };
+		for (const auto& it : state.queue.waiting)
+		{
+			take_if_smaller(it.priority);
+		}
+		for (const auto& [priority, returned_at] : state.returned_as_full)
+		{
+			if (now - returned_at <= full_memory)
+			{
+				take_if_smaller(priority);
+			}
+		}
+		if (report.waiting_priority)
+		{
+			report.opening_wait = expected_wait(state.queue, *ahead, *report.waiting_priority, 0);
+		}
+		return report;
 	}
 
 	std::vector<ipv4> load_report_recipients(agent_state& state, const load_report& report, std::uint32_t slots,
@@ -569,7 +919,8 @@
 			const auto idle_time = now - it->second.last_used;
 			if (idle_time > retention || (is_closed(it->second) && idle_time > closed_retention))
 			{
-				set_request_in_progress(state, it->second, false);
+				set_request_in_progress(state, it->first, it->second, false);
+				take_packets(state.requests, it->first);
 				it = state.flows.erase(it);
 			}
 			else
