--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -3,8 +3,9 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdlib>
+#include <iterator>
 #include <limits>
-#include <map>
+#include <utility>
 
 namespace nutmegturn::steering
 {
@@ -58,12 +59,53 @@
 			return flow.caller_closed && flow.upstream_closed;
 		}
 
-		void set_request_in_progress(agent_state& state, agent_flow& flow, bool request_in_progress) noexcept
+		/// Delivered requests that are unanswered for longer than this, and for longer than `stale_costs` mean costs,
+		/// do not count.
+		constexpr milliseconds stale_request_age{500};
+		constexpr double stale_costs = 10;
+
+		/// Delivered requests beyond the upstream's slots from which less urgent ones wait: one is at hand for the slot
+		/// that becomes free next.
+		constexpr std::size_t requests_at_hand = 1;
+
+		/// How long the return of an opening packet shows that its priority waits.
+		constexpr milliseconds full_memory{500};
+
+		/// Longest time between two iterations of a process's loop that is not a pause. Timers run every 100 ms.
+		constexpr std::chrono::seconds longest_iteration_gap{1};
+
+		/// Longest suspension of the machine that is not a pause.
+		constexpr milliseconds longest_suspension{100};
+
+		/// Returns the mean slot time of the upstream's requests, or the one that is assumed without a history.
+		[[nodiscard]] milliseconds mean_cost(const agent_state& state)
+		{
+			return std::chrono::round<milliseconds>(expected_cost(state.costs).mean);
+		}
+
+		/// Returns the time before which delivered requests do not count.
+		[[nodiscard]] monotonic_time oldest_counted_delivery(const agent_state& state, monotonic_time now)
+		{
+			return now - std::max(stale_request_age,
+								  std::chrono::round<milliseconds>(stale_costs * expected_cost(state.costs).mean));
+		}
+
+		void set_request_in_progress(agent_state& state, const flow_id& id, agent_flow& flow, bool request_in_progress)
 		{
-			if (flow.request_in_progress != request_in_progress)
+			if (flow.request_in_progress == request_in_progress)
 			{
-				flow.request_in_progress = request_in_progress;
-				state.requests_in_progress += request_in_progress ? 1 : std::size_t(-1);
+				return;
+			}
+			flow.request_in_progress = request_in_progress;
+			state.requests_in_progress += request_in_progress ? 1 : std::size_t(-1);
+			if (flow.request_delivered)
+			{
+				flow.request_delivered = false;
+				const auto found = std::ranges::find(state.unanswered, id, &unanswered_request::flow);
+				if (found != state.unanswered.end())
+				{
+					state.unanswered.erase(found);
+				}
 			}
 		}
 
@@ -73,7 +115,8 @@
 			if (found != state.flows.end())
 			{
 				discard_request(state.work, id, state.slots, now);
-				set_request_in_progress(state, found->second, false);
+				set_request_in_progress(state, id, found->second, false);
+				take_packets(state.requests, id);
 				state.flows.erase(found);
 			}
 		}
@@ -82,10 +125,6 @@
 		/// caller and some delay.
 		constexpr milliseconds first_request_window{30};
 
-		/// Requests in progress, as a multiple of the upstream's slots, from which opening packets wait at the agent:
-		/// while it is not reached, an upstream has a request at hand for each slot that becomes free.
-		constexpr std::size_t queued_requests_ratio = 2;
-
 		void record_opening(agent_state& state, agent_flow& flow, monotonic_time now)
 		{
 			while (!state.recent_openings.empty() && now - state.recent_openings.front() > first_request_window)
@@ -119,9 +158,17 @@
 		}
 
 		/// Records new data of the caller. The request is in progress until the upstream sends data.
-		/// \returns	Whether the packet carries new data.
-		bool record_caller_data(agent_state& state, agent_flow& flow, const segment& packet)
+		/// What a packet of a caller carries.
+		struct caller_data
 		{
+			bool is_new = false;         ///< Data that no packet has carried before.
+			bool starts_request = false; ///< The data begins a request.
+		};
+
+		/// Records new data of the caller. The request is in progress until the upstream sends data.
+		caller_data record_caller_data(agent_state& state, const flow_id& id, agent_flow& flow, const segment& packet)
+		{
+			const bool was_in_progress = flow.request_in_progress;
 			flow.acknowledgement = packet.acknowledgement;
 			flow.caller_closed = flow.caller_closed || packet.fin;
 			const std::uint32_t end = packet.sequence + packet.payload_size;
@@ -133,9 +180,9 @@
 				flow.sequence_known = true;
 				flow.request_started = flow.request_in_progress ? flow.request_started : flow.last_used;
 				record_first_request(state, flow);
-				set_request_in_progress(state, flow, true);
+				set_request_in_progress(state, id, flow, true);
 			}
-			return is_new;
+			return {.is_new = is_new, .starts_request = flow.request_in_progress && !was_in_progress};
 		}
 
 		/// Returns the number of the upstream's slots, or 0 if it is unknown.
@@ -145,6 +192,14 @@
 			return own == nullptr ? 0 : std::max(own->entry.slots, 1U);
 		}
 
+		/// Adds a data packet that goes to the upstream to the upstream's work.
+		void record_work(agent_state& state, const catalog& known, const flow_id& id, const agent_flow& flow,
+						 monotonic_time now)
+		{
+			state.slots = known_slots(state.gate, known);
+			record_request_packet(state.work, id, flow.request_seen_from_start, state.slots, now);
+		}
+
 		/// Removes the answered request from the upstream's work and learns its cost.
 		void record_answer(agent_state& state, const flow_id& id, monotonic_time now)
 		{
@@ -188,6 +243,145 @@
 			return found == state.balancers.end() ? 0 : found->second.zone;
 		}
 
+		[[nodiscard]] std::uint32_t zone_of_balancer(const agent_state& state, ipv4 balancer)
+		{
+			const auto found = state.balancers.find(balancer);
+			return found == state.balancers.end() ? 0 : found->second.zone;
+		}
+
+		/// Returns the priority of a route, which is the same for all routes of a service without priorities.
+		[[nodiscard]] std::uint8_t priority_of_route(const agent_state& state, const catalog& known,
+													 const ipv4_endpoint& route)
+		{
+			return has_priorities(known, state.gate.service) ? traffic_class_of(known, route).priority
+															 : lowest_priority;
+		}
+
+		/// Records the expected slot time of a request that the upstream starts soon.
+		void record_slot_time(agent_state& state, const catalog& known, const flow_id& id, ipv4 balancer,
+							  monotonic_time now)
+		{
+			if (has_priorities(known, state.gate.service))
+			{
+				const admission_candidate candidate{.priority = priority_of_route(state, known, id.route),
+													.zone = zone_of_balancer(state, balancer),
+													.caller = id.caller.ip,
+													.since = now};
+				record_admission(state.usage, candidate, mean_cost(state), now);
+			}
+		}
+
+		/// Records that a request goes to the upstream.
+		void record_request_delivery(agent_state& state, const catalog& known, const flow_id& id, agent_flow& flow,
+									 monotonic_time now)
+		{
+			const auto counted = std::ranges::lower_bound(state.unanswered, oldest_counted_delivery(state, now), {},
+														  &unanswered_request::at);
+			state.unanswered.erase(state.unanswered.begin(), counted);
+			flow.request_delivered = true;
+			flow.delivered_at = now;
+			state.unanswered.push_back({.flow = id, .priority = priority_of_route(state, known, id.route), .at = now});
+			record_work(state, known, id, flow, now);
+		}
+
+		/// Records a delivery and its slot time, unless the admission of the flow has recorded that already.
+		void record_delivery_and_slot_time(agent_state& state, const catalog& known, const flow_id& id,
+										   agent_flow& flow, monotonic_time now)
+		{
+			record_request_delivery(state, known, id, flow, now);
+			if (!flow.slot_time_recorded)
+			{
+				record_slot_time(state, known, id, flow.last_balancer, now);
+			}
+			flow.slot_time_recorded = false;
+		}
+
+		/// Takes the packets of a flow that are to be forwarded.
+		void deliver_flow(agent_state& state, const catalog& known, const flow_id& id,
+						  std::vector<queued_packet>& delivered, monotonic_time now)
+		{
+			auto packets = take_packets(state.requests, id);
+			if (const auto found = state.flows.find(id); found != state.flows.end())
+			{
+				record_delivery_and_slot_time(state, known, id, found->second, now);
+				if (packets.size() > 1 && packets[1].payload_size > 0)
+				{
+					record_work(state, known, id, found->second, now);
+				}
+			}
+			std::ranges::move(packets, std::back_inserter(delivered));
+		}
+
+		/// Returns whether a request that arrives waits.
+		[[nodiscard]] bool must_wait(const agent_state& state, const catalog& known, const flow_id& id,
+									 const agent_flow& flow, monotonic_time now)
+		{
+			const auto service = state.gate.service;
+			const auto* own = own_upstream(state.gate, known);
+			// A packet of a flow that this upstream may not hold is not delayed: its balancer looks for the holder.
+			if (own == nullptr || state.gate.stopping || flow.stage == flow_stage::unconfirmed ||
+				!has_priorities(known, service) ||
+				traffic_class_of(known, id.route).priority <= most_urgent_priority(known, service))
+			{
+				return false;
+			}
+			return count_delivered_requests(state, now) >= std::max(own->entry.slots, 1U) + requests_at_hand;
+		}
+
+		/// Decides whether a packet of a flow is forwarded or waits.
+		void queue_or_forward(agent_state& state, const catalog& known, const message& msg, const segment& packet,
+							  agent_flow& flow, const caller_data& data, agent_decision& decision, monotonic_time now)
+		{
+			const auto id = flow_of_caller(packet);
+			const bool behind = has_waiting_packets(state.requests, id);
+			if (!behind && data.starts_request && !must_wait(state, known, id, flow, now))
+			{
+				record_delivery_and_slot_time(state, known, id, flow, now);
+				return;
+			}
+			if (!behind && !data.starts_request && data.is_new)
+			{
+				record_work(state, known, id, flow, now);
+			}
+			if ((!behind && !data.starts_request) || (packet.payload_size == 0 && !packet.fin))
+			{
+				return;
+			}
+			const auto result = add_packet(state.requests, {.flow = id,
+															.sequence = packet.sequence,
+															.payload_size = packet.payload_size,
+															.fin = packet.fin,
+															.starts_request = data.starts_request,
+															.priority = priority_of_route(state, known, id.route),
+															.zone = zone_of_balancer(state, flow.last_balancer),
+															.queued_at = now,
+															.bytes = {msg.packet.begin(), msg.packet.end()}});
+			decision.to_upstream = result == queue_result::full;
+			if (decision.to_upstream)
+			{
+				deliver_flow(state, known, id, decision.before, now);
+			}
+		}
+
+		/// Returns the work of the upstream before waiting opening packets, or nothing if its slots are unknown.
+		[[nodiscard]] std::optional<work_ahead> find_work_ahead(const agent_state& state, const catalog& known,
+																monotonic_time now)
+		{
+			const auto* own = own_upstream(state.gate, known);
+			if (own == nullptr)
+			{
+				return std::nullopt;
+			}
+			work_ahead ahead{.slots = std::max(own->entry.slots, 1U),
+							 .mean_cost = mean_cost(state),
+							 .requests = state.requests_in_progress + requests_due(state, now),
+							 .delivered = {},
+							 .waiting_requests = priorities_of_requests(state.requests)};
+			std::ranges::transform(state.unanswered, std::back_inserter(ahead.delivered),
+								   &unanswered_request::priority);
+			return ahead;
+		}
+
 		[[nodiscard]] agent_flow* find_or_add_flow(agent_state& state, const flow_id& id, monotonic_time now)
 		{
 			const auto found = state.flows.find(id);
@@ -211,11 +405,15 @@
 			const auto status =
 				retransmission ? admission_status::accepting
 							   : admit_opening(state.gate, known, msg.service, msg.version, packet.destination, now);
-			if (status == admission_status::accepting && !retransmission && is_saturated(state, known, now))
+			const auto ahead = find_work_ahead(state, known, now);
+			if (status == admission_status::accepting && !retransmission && ahead &&
+				is_saturated_for(*ahead, priority_of_route(state, known, packet.destination)))
 			{
 				decision.waits = true;
 				return decision;
 			}
+			// A copy of a packet that waits is handled in its place.
+			remove_opening(state.queue, id);
 			auto* flow = status == admission_status::accepting ? find_or_add_flow(state, id, now) : nullptr;
 			if (flow == nullptr)
 			{
@@ -232,6 +430,8 @@
 			if (!flow->opened_here)
 			{
 				record_opening(state, *flow, now);
+				record_slot_time(state, known, id, balancer, now);
+				flow->slot_time_recorded = true;
 			}
 			flow->opened_here = true;
 			if (flow->stage == flow_stage::unconfirmed)
@@ -324,17 +524,18 @@
 		agent_decision decision;
 		const auto id = flow_of_caller(packet);
 		decision.to_upstream = true;
+		if (packet.rst)
+		{
+			remove_opening(state.queue, id);
+		}
 		auto* flow = find_or_add_flow(state, id, now);
 		if (flow == nullptr)
 		{
 			return decision;
 		}
-		const bool first_packet_seen = flow->opened_here || flow->sequence_known;
-		if (record_caller_data(state, *flow, packet))
-		{
-			state.slots = known_slots(state.gate, known);
-			record_request_packet(state.work, id, first_packet_seen, state.slots, now);
-		}
+		const bool seen_from_start = flow->opened_here || flow->sequence_known;
+		const auto data = record_caller_data(state, id, *flow, packet);
+		flow->request_seen_from_start = data.starts_request ? seen_from_start : flow->request_seen_from_start;
 		flow->opening_packet.clear();
 		flow->last_balancer = balancer;
 		flow->from_probe = msg.kind == message_kind::probe && flow->stage == flow_stage::unconfirmed;
@@ -353,19 +554,143 @@
 		if (packet.rst)
 		{
 			erase_flow(state, id, now);
+			return decision;
 		}
+		queue_or_forward(state, known, msg, packet, *flow, data, decision, now);
 		return decision;
 	}
 
 	bool is_saturated(const agent_state& state, const catalog& known, monotonic_time now)
 	{
+		const auto ahead = find_work_ahead(state, known, now);
+		return ahead && is_saturated_for(*ahead, lowest_priority);
+	}
+
+	std::size_t count_delivered_requests(const agent_state& state, monotonic_time now)
+	{
+		const auto first = std::ranges::lower_bound(state.unanswered, oldest_counted_delivery(state, now), {},
+													&unanswered_request::at);
+		return static_cast<std::size_t>(state.unanswered.end() - first);
+	}
+
+	waiting_opening make_waiting_opening(const agent_state& state, const catalog& known, const message& msg,
+										 const segment& packet, ipv4 balancer, monotonic_time now)
+	{
+		return {.flow = flow_of_caller(packet),
+				.balancer = balancer,
+				.service = msg.service,
+				.version = msg.version,
+				.packet = {msg.packet.begin(), msg.packet.end()},
+				.opened_at = now - age_of_copy(packet.acknowledgement),
+				.queued_at = now,
+				.copy = packet.acknowledgement,
+				.timeout = traffic_class_of(known, packet.destination).timeout,
+				.priority = priority_of_route(state, known, packet.destination),
+				.zone = zone_of_balancer(state, balancer)};
+	}
+
+	std::optional<waiting_opening> take_admissible_opening(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		const auto ahead = find_work_ahead(state, known, now);
+		if (!ahead || !has_priorities(known, state.gate.service))
+		{
+			return ahead && is_saturated_for(*ahead, lowest_priority) ? std::nullopt : take_newest_opening(state.queue);
+		}
+		return take_next_opening(state.queue, state.usage, *ahead, now);
+	}
+
+	opening_queue_decision take_expired_openings(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		opening_queue_decision decision;
+		decision.abandoned = take_abandoned_openings(state.queue, now);
+		if (!admits_new_flows(state.gate, known, now))
+		{
+			decision.returned = std::exchange(state.queue.waiting, {});
+			return decision;
+		}
+		decision.returned = take_overdue_openings(state.queue, now);
+		const auto ahead = find_work_ahead(state, known, now);
+		if (ahead && has_priorities(known, state.gate.service))
+		{
+			std::ranges::move(take_hopeless_openings(state.queue, *ahead, now), std::back_inserter(decision.returned));
+		}
+		return decision;
+	}
+
+	void record_returned_as_full(agent_state& state, const waiting_opening& opening, monotonic_time now)
+	{
+		state.returned_as_full[opening.priority] = now;
+	}
+
+	std::vector<queued_packet> take_due_requests(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		std::vector<queued_packet> due;
 		const auto* own = own_upstream(state.gate, known);
-		if (own == nullptr)
+		const bool orders = own != nullptr && has_priorities(known, state.gate.service);
+		const auto slots = own == nullptr ? 1 : std::max(own->entry.slots, 1U);
+		while (!state.requests.waiting.empty())
 		{
-			return false;
+			auto next = find_overdue_flow(state.requests, now);
+			if (!next && (!orders || count_delivered_requests(state, now) < slots + requests_at_hand))
+			{
+				next = choose_waiting_flow(state.requests, state.usage, slots, now);
+			}
+			if (!next)
+			{
+				break;
+			}
+			deliver_flow(state, known, *next, due, now);
+		}
+		return due;
+	}
+
+	stop_decision handle_stop(agent_state& state, const catalog& known, monotonic_time now)
+	{
+		state.gate.stopping = true;
+		stop_decision decision;
+		decision.returned = std::exchange(state.queue.waiting, {});
+		for (auto& packet : std::exchange(state.requests.waiting, {}))
+		{
+			const auto found = state.flows.find(packet.flow);
+			if (packet.starts_request && found != state.flows.end())
+			{
+				record_request_delivery(state, known, packet.flow, found->second, now);
+			}
+			decision.delivered.push_back(std::move(packet));
 		}
-		return state.requests_in_progress + requests_due(state, now) >=
-			   queued_requests_ratio * std::max(own->entry.slots, 1U);
+		return decision;
+	}
+
+	dropped_packets handle_pause(agent_state& state)
+	{
+		const dropped_packets dropped{.openings = state.queue.waiting.size(),
+									  .flow_packets = state.requests.waiting.size()};
+		state.queue.waiting.clear();
+		for (const auto& packet : std::exchange(state.requests.waiting, {}))
+		{
+			const auto found = state.flows.find(packet.flow);
+			if (found == state.flows.end())
+			{
+				continue;
+			}
+			auto& flow = found->second;
+			if (packet.starts_request)
+			{
+				flow.highest_sequence = packet.sequence;
+				set_request_in_progress(state, packet.flow, flow, false);
+			}
+			flow.caller_closed = flow.caller_closed && !packet.fin;
+		}
+		return dropped;
+	}
+
+	bool record_iteration(loop_times& times, monotonic_time now, std::chrono::nanoseconds suspended) noexcept
+	{
+		const bool first = times.last_iteration == monotonic_time{};
+		const bool paused =
+			now - times.last_iteration >= longest_iteration_gap || suspended - times.suspended >= longest_suspension;
+		times = {.last_iteration = now, .suspended = suspended};
+		return paused && !first;
 	}
 
 	std::vector<flow_answer> answer_query(const agent_state& state, std::span<const flow_id> flows)
@@ -418,7 +743,7 @@
 			state.watched_since = now;
 			return decision;
 		}
-		if (flow->request_in_progress && (packet.rst || packet.payload_size > 0))
+		if (flow->request_delivered && (packet.rst || packet.payload_size > 0))
 		{
 			update_failure_ratio(state, packet.rst, now);
 		}
@@ -431,14 +756,15 @@
 		flow->opening_packet.clear();
 		state.upstream_is_older = state.upstream_is_older || !flow->opened_here;
 		flow->stage = packet.syn ? std::max(flow->stage, flow_stage::half_open) : flow_stage::open;
-		if (packet.payload_size > 0 && flow->request_in_progress)
+		if (packet.payload_size > 0 && flow->request_delivered)
 		{
-			decision.response_time = now - flow->request_started;
+			decision.response_time = now - flow->delivered_at;
 			record_answer(state, id, now);
 		}
-		if (packet.payload_size > 0 || packet.fin)
+		// A request that waits cannot have been answered; the packet belongs to an earlier response.
+		if ((packet.payload_size > 0 || packet.fin) && flow->request_delivered)
 		{
-			set_request_in_progress(state, *flow, false);
+			set_request_in_progress(state, id, *flow, false);
 			discard_request(state.work, id, state.slots, now);
 		}
 		flow->upstream_closed = flow->upstream_closed || packet.fin;
@@ -464,6 +790,9 @@
 		state.flows.clear();
 		state.requests_in_progress = 0;
 		state.work = {};
+		state.unanswered.clear();
+		state.requests.waiting.clear();
+		decision.returned = std::exchange(state.queue.waiting, {});
 		state.recent_openings.clear();
 		state.knows_all_flows = true;
 		mark_refused(state.gate, now);
@@ -557,19 +886,42 @@
 		return report;
 	}
 
-	work_report make_work_report(const agent_state& state, [[maybe_unused]] const catalog& known, monotonic_time now)
+	work_report make_work_report(const agent_state& state, const catalog& known, monotonic_time now)
 	{
 		work_report report;
 		const auto expected = expected_cost(state.costs);
-		const auto waiting = expected.mean * static_cast<double>(state.queue.waiting.size());
+		const auto waiting = state.queue.waiting.size() + priorities_of_requests(state.requests).size();
 		report.outstanding = std::chrono::round<milliseconds>(
-			std::min(remaining_work(state.work, state.costs, now) + waiting, max_outstanding));
+			std::min(remaining_work(state.work, state.costs, now) + expected.mean * static_cast<double>(waiting),
+					 max_outstanding));
 		if (is_reportable(state.costs))
 		{
 			// A reported mean of 0 stands for an unknown one.
 			report.mean_cost = std::max(std::chrono::round<milliseconds>(expected.mean), milliseconds{1});
 			report.cost_deviation = std::chrono::round<milliseconds>(expected.deviation);
 		}
+		const auto ahead = find_work_ahead(state, known, now);
+		if (!ahead || !has_priorities(known, state.gate.service))
+		{
+			return report;
+		}
+		const auto take_if_smaller = [&report](std::uint8_t priority)
+		{ report.waiting_priority = std::min(report.waiting_priority.value_or(priority), priority); };
+		for (const auto& it : state.queue.waiting)
+		{
+			take_if_smaller(it.priority);
+		}
+		for (const auto& [priority, returned_at] : state.returned_as_full)
+		{
+			if (now - returned_at <= full_memory)
+			{
+				take_if_smaller(priority);
+			}
+		}
+		if (report.waiting_priority)
+		{
+			report.opening_wait = expected_wait(state.queue, *ahead, *report.waiting_priority, 0);
+		}
 		return report;
 	}
 
@@ -608,7 +960,8 @@
 			const auto idle_time = now - it->second.last_used;
 			if (idle_time > retention || (is_closed(it->second) && idle_time > closed_retention))
 			{
-				set_request_in_progress(state, it->second, false);
+				set_request_in_progress(state, it->first, it->second, false);
+				take_packets(state.requests, it->first);
 				discard_request(state.work, it->first, state.slots, now);
 				it = state.flows.erase(it);
 			}
