--- a/include/nutmegturn/steering/request_queue.hpp
+++ b/include/nutmegturn/steering/request_queue.hpp
@@ -17,16 +17,20 @@
 		std::uint16_t payload_size = 0;
 		bool fin = false;
 		bool starts_request = false; ///< Its data begins a request.
+		bool repeatable = false;     ///< The caller repeats the request if it gets no response.
 		std::uint8_t priority = lowest_priority;
 		std::uint32_t zone = 0; ///< Key of the zone of the balancer that sent it.
 		monotonic_time queued_at{};
+		monotonic_time since{}; ///< Arrival of the first copy of the request's first packet.
 		std::vector<std::byte> bytes;
 	};
 
 	/// Requests on open flows that wait until the agent's upstream can start them, with the packets that follow them.
 	///
 	/// Load pattern: most requests arrive on flows that are open already, so that the order of opening packets alone
-	/// leaves urgent requests behind those of a route that sends several times its usual rate.
+	/// leaves urgent requests behind those of a route that sends several times its usual rate. Upstreams start requests
+	/// in the order of their delivery, so the less urgent ones wait before it. The newest goes first, since in an
+	/// overload of open flows the oldest ones are late already.
 	struct request_queue
 	{
 		std::deque<queued_packet> waiting; ///< In order of arrival. The first packet of each flow starts a request.
@@ -35,7 +39,8 @@
 	/// Capacity of the queue. The packets of a flow that exceeds it are delivered at once.
 	inline constexpr std::size_t max_waiting_packets = 256;
 
-	/// Longest time that a request waits. Callers retransmit data after 200 ms; a shorter wait causes no copies.
+	/// Longest time that a request waits. Callers retransmit data after 200 ms, so the copy of a request that was
+	/// dropped arrives shortly after.
 	inline constexpr milliseconds max_request_wait{150};
 
 	/// What became of a packet that was to wait.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -311,10 +311,37 @@
 			/// Forwards the waiting requests that the upstream can start, and those that have waited for long.
 			void forward_waiting_requests()
 			{
-				deliver(take_due_requests(state_, node_.catalog, node_.loop.now()));
+				const auto due = take_due_requests(state_, node_.catalog, node_.loop.now());
+				deliver(due.delivered);
+				for (const auto& it : due.dropped)
+				{
+					drop_request_packet(it);
+				}
 				schedule_request_check();
 			}
 
+			/// Counts a packet of an open flow that is not forwarded, and logs the request that it starts.
+			void drop_request_packet(const steering::queued_packet& packet)
+			{
+				node_.metrics.add(counter::packets_dropped, reason::slots_full);
+				if (!packet.starts_request)
+				{
+					return;
+				}
+				const auto now = node_.loop.now();
+				const auto traffic = traffic_class_of(node_.catalog, packet.flow.route);
+				node_.metrics_by_class.record_declined(traffic, reason::slots_full);
+				node_.log.write(
+					log_level::info, "request_dropped",
+					"request not forwarded to a busy upstream; its caller repeats it",
+					{{"flow", fmt::format("{}>{}", to_string(packet.flow.caller), to_string(packet.flow.route))},
+					 {"class", class_text(packet.flow.route)},
+					 {"wait_ms", age_ms(packet.queued_at, now)},
+					 {"since_first_ms", age_ms(packet.since, now)},
+					 {"at_work", std::to_string(state_.requests_in_progress)},
+					 {"version", std::to_string(node_.catalog.version)}});
+			}
+
 			void schedule_request_check()
 			{
 				const auto deadline = next_request_deadline(state_.requests);
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -298,10 +298,7 @@
 			/// Returns the class of a route's requests as written in the log, such as `1/non_idempotent`.
 			[[nodiscard]] std::string class_of(const steering::ipv4_endpoint& address) const
 			{
-				const auto found = node_.catalog.routes.find(address);
-				const auto traffic =
-					found == node_.catalog.routes.end() ? steering::traffic_class{} : found->second.traffic;
-				return fmt::format("{}/{}", traffic.priority, to_string(traffic.kind));
+				return to_string(traffic_class_of(node_.catalog, address));
 			}
 
 			void log_placement(const steering_decision& decision, const segment& packet)
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -64,9 +64,9 @@
 		constexpr milliseconds stale_request_age{500};
 		constexpr double stale_costs = 10;
 
-		/// Delivered requests beyond the upstream's slots from which less urgent ones wait: one is at hand for the slot
-		/// that becomes free next.
-		constexpr std::size_t requests_at_hand = 1;
+		/// Delivered requests, as a multiple of the upstream's slots, from which less urgent ones wait: one is at hand
+		/// for each slot that becomes free, and an urgent request waits for about one slot time.
+		constexpr std::size_t delivered_requests_ratio = 2;
 
 		/// How long the return of an opening packet shows that its priority waits.
 		constexpr milliseconds full_memory{500};
@@ -325,7 +325,40 @@
 			{
 				return false;
 			}
-			return count_delivered_requests(state, now) >= std::max(own->entry.slots, 1U) + requests_at_hand;
+			return count_delivered_requests(state, now) >= delivered_requests_ratio * std::max(own->entry.slots, 1U);
+		}
+
+		/// Returns whether callers of a route repeat a request that gets no response.
+		[[nodiscard]] bool is_repeatable(const catalog& known, const ipv4_endpoint& route)
+		{
+			return traffic_class_of(known, route).kind != request_kind::non_idempotent;
+		}
+
+		/// Returns when a packet arrived first, also if it was dropped then.
+		[[nodiscard]] monotonic_time first_arrival(const agent_flow& flow, const segment& packet, monotonic_time now)
+		{
+			return flow.dropped && flow.dropped->sequence == packet.sequence ? flow.dropped->since : now;
+		}
+
+		/// Forgets packets that leave the queue without being forwarded, so that copies of them count as new data.
+		void forget_packets(agent_state& state, std::span<const queued_packet> packets)
+		{
+			for (const auto& packet : packets)
+			{
+				const auto found = state.flows.find(packet.flow);
+				if (found == state.flows.end())
+				{
+					continue;
+				}
+				auto& flow = found->second;
+				if (packet.starts_request)
+				{
+					flow.highest_sequence = packet.sequence;
+					flow.dropped = {.sequence = packet.sequence, .since = packet.since};
+					set_request_in_progress(state, packet.flow, flow, false);
+				}
+				flow.caller_closed = flow.caller_closed && !packet.fin;
+			}
 		}
 
 		/// Decides whether a packet of a flow is forwarded or waits.
@@ -352,9 +385,11 @@
 															.payload_size = packet.payload_size,
 															.fin = packet.fin,
 															.starts_request = data.starts_request,
+															.repeatable = is_repeatable(known, id.route),
 															.priority = priority_of_route(state, known, id.route),
 															.zone = zone_of_balancer(state, flow.last_balancer),
 															.queued_at = now,
+															.since = first_arrival(flow, packet, now),
 															.bytes = {msg.packet.begin(), msg.packet.end()}});
 			decision.to_upstream = result == queue_result::full;
 			if (decision.to_upstream)
@@ -622,24 +657,29 @@
 		state.returned_as_full[opening.priority] = now;
 	}
 
-	std::vector<queued_packet> take_due_requests(agent_state& state, const catalog& known, monotonic_time now)
+	request_queue_decision take_due_requests(agent_state& state, const catalog& known, monotonic_time now)
 	{
-		std::vector<queued_packet> due;
+		request_queue_decision due;
 		const auto* own = own_upstream(state.gate, known);
 		const bool orders = own != nullptr && has_priorities(known, state.gate.service);
 		const auto slots = own == nullptr ? 1 : std::max(own->entry.slots, 1U);
 		while (!state.requests.waiting.empty())
 		{
-			auto next = find_overdue_flow(state.requests, now);
-			if (!next && (!orders || count_delivered_requests(state, now) < slots + requests_at_hand))
+			const bool room = !orders || count_delivered_requests(state, now) < delivered_requests_ratio * slots;
+			const auto overdue = find_overdue_flow(state.requests, now);
+			if (overdue && !room && state.requests.waiting.front().repeatable)
 			{
-				next = choose_waiting_flow(state.requests, state.usage, slots, now);
+				auto dropped = take_packets(state.requests, *overdue);
+				forget_packets(state, dropped);
+				std::ranges::move(dropped, std::back_inserter(due.dropped));
+				continue;
 			}
+			const auto next = overdue || !room ? overdue : choose_waiting_flow(state.requests, state.usage, slots, now);
 			if (!next)
 			{
 				break;
 			}
-			deliver_flow(state, known, *next, due, now);
+			deliver_flow(state, known, *next, due.delivered, now);
 		}
 		return due;
 	}
@@ -666,21 +706,8 @@
 		const dropped_packets dropped{.openings = state.queue.waiting.size(),
 									  .flow_packets = state.requests.waiting.size()};
 		state.queue.waiting.clear();
-		for (const auto& packet : std::exchange(state.requests.waiting, {}))
-		{
-			const auto found = state.flows.find(packet.flow);
-			if (found == state.flows.end())
-			{
-				continue;
-			}
-			auto& flow = found->second;
-			if (packet.starts_request)
-			{
-				flow.highest_sequence = packet.sequence;
-				set_request_in_progress(state, packet.flow, flow, false);
-			}
-			flow.caller_closed = flow.caller_closed && !packet.fin;
-		}
+		const auto waiting = std::exchange(state.requests.waiting, {});
+		forget_packets(state, std::vector<queued_packet>{waiting.begin(), waiting.end()});
 		return dropped;
 	}
 
--- a/src/steering/request_queue.cpp
+++ b/src/steering/request_queue.cpp
@@ -57,7 +57,7 @@
 			if (it.starts_request)
 			{
 				candidates.push_back(
-					{.priority = it.priority, .zone = it.zone, .caller = it.flow.caller.ip, .since = it.queued_at});
+					{.priority = it.priority, .zone = it.zone, .caller = it.flow.caller.ip, .since = it.since});
 				packets.push_back(&it);
 			}
 		}
@@ -65,7 +65,7 @@
 		{
 			return std::nullopt;
 		}
-		return packets[choose_next(usage, candidates, slots, arrival_order::oldest_first, now)]->flow;
+		return packets[choose_next(usage, candidates, slots, arrival_order::newest_first, now)]->flow;
 	}
 
 	std::optional<flow_id> find_overdue_flow(const request_queue& queue, monotonic_time now)
