Let repeatable requests wait for room, the newest first

Requests that callers repeat now wait until the upstream has room (fewer than twice its slots delivered), the newest first, or until their callers have gone; others are forwarded after 150 ms as before.

--- a/include/nutmegturn/steering/admission_order.hpp
+++ b/include/nutmegturn/steering/admission_order.hpp
@@ -106,6 +106,10 @@
 	void record_admission(admission_usage& usage, const admission_candidate& admitted, milliseconds slot_time,
 						  monotonic_time now);
 
+	/// Returns whether a class got less than `lowest_class_share` of the slot time of the last second.
+	[[nodiscard]] bool is_below_lowest_share(const admission_usage& usage, std::uint8_t priority,
+											 monotonic_time now) noexcept;
+
 	/// Chooses what starts next at the upstream:
 	///
 	/// 1. a class other than the most urgent waiting one, from the lowest on, that got less than its part of
--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -23,13 +23,6 @@
 		open         ///< The upstream has sent data or acknowledgements.
 	};
 
-	/// Request that an agent dropped. A copy of it keeps its place by the time of its first arrival.
-	struct dropped_request
-	{
-		std::uint32_t sequence = 0; ///< Of its first packet.
-		monotonic_time since;       ///< First arrival.
-	};
-
 	/// Flow table entry of an agent. The upstream's state is authoritative: a lost entry is rebuilt from its packets.
 	struct agent_flow
 	{
@@ -39,14 +32,13 @@
 		bool request_delivered = false;   ///< The request in progress was forwarded to the upstream.
 		bool slot_time_recorded = false;  ///< The first request is in `agent_state::usage` since the flow's admission.
 		monotonic_time delivered_at;      ///< When the request in progress was forwarded.
-		std::optional<dropped_request> dropped; ///< Latest request that was dropped without being forwarded.
-		bool request_seen_from_start = false;   ///< Otherwise the cost of the request in progress is not learned.
-		bool caller_closed = false;             ///< The caller sent FIN.
-		bool upstream_closed = false;           ///< The upstream sent FIN.
-		bool sequence_known = false;            ///< `highest_sequence` is valid.
-		std::uint32_t highest_sequence = 0;     ///< End of the caller's newest data.
-		std::uint32_t acknowledgement = 0;      ///< The caller's newest; a reset needs a sequence number near it.
-		monotonic_time added_at;                ///< Creation of this entry.
+		bool request_seen_from_start = false; ///< Otherwise the cost of the request in progress is not learned.
+		bool caller_closed = false;           ///< The caller sent FIN.
+		bool upstream_closed = false;         ///< The upstream sent FIN.
+		bool sequence_known = false;          ///< `highest_sequence` is valid.
+		std::uint32_t highest_sequence = 0;   ///< End of the caller's newest data.
+		std::uint32_t acknowledgement = 0;    ///< The caller's newest; a reset needs a sequence number near it.
+		monotonic_time added_at;              ///< Creation of this entry.
 		monotonic_time last_used;
 		std::vector<ipv4> waiting_balancers; ///< Balancers to notify whether the upstream holds the flow.
 		ipv4 last_balancer{};                ///< Balancer that sent the last packet.
@@ -128,7 +120,7 @@
 	struct request_queue_decision
 	{
 		std::vector<queued_packet> delivered; ///< To forward to the upstream, in this order.
-		std::vector<queued_packet> dropped;   ///< Waited for too long. Their callers send them again.
+		std::vector<queued_packet> dropped;   ///< Their callers have gone.
 	};
 
 	/// Number of packets that were dropped because they waited during a pause of the process.
@@ -220,9 +212,10 @@
 	/// Removes and returns the packets of open flows that do not wait any longer. Call it after packets of the upstream
 	/// and at `next_request_deadline`.
 	///
-	/// A request that has waited for `max_request_wait` is forwarded if the upstream has room. Otherwise it is dropped
-	/// if its caller repeats requests without a response, and forwarded if not. In an overload of open flows, requests
-	/// that are forwarded regardless fill the upstream's own queue, and then all of them are late, urgent ones too.
+	/// Requests that callers repeat wait until the upstream has room, the newest first, or until their callers have
+	/// gone. In an overload of open flows, requests that are forwarded without room fill the upstream's own queue, and
+	/// then all of them are late, urgent ones too. Requests that are not repeated are forwarded after
+	/// `max_request_wait`.
 	[[nodiscard]] request_queue_decision take_due_requests(agent_state& state, const catalog& known,
 														   monotonic_time now);
 
--- a/include/nutmegturn/steering/request_queue.hpp
+++ b/include/nutmegturn/steering/request_queue.hpp
@@ -21,7 +21,8 @@
 		std::uint8_t priority = lowest_priority;
 		std::uint32_t zone = 0; ///< Key of the zone of the balancer that sent it.
 		monotonic_time queued_at{};
-		monotonic_time since{}; ///< Arrival of the first copy of the request's first packet.
+		std::uint32_t copies = 0; ///< Retransmissions that arrived since.
+		milliseconds timeout{0};  ///< After which a response would come too late; 0 if none.
 		std::vector<std::byte> bytes;
 	};
 
@@ -39,15 +40,21 @@
 	/// Capacity of the queue. The packets of a flow that exceeds it are delivered at once.
 	inline constexpr std::size_t max_waiting_packets = 256;
 
-	/// Longest time that a request waits. Callers retransmit data after 200 ms, so the copy of a request that was
-	/// dropped arrives shortly after.
+	/// Longest time that a request waits if its caller does not repeat it. Callers retransmit data after 200 ms; a
+	/// shorter wait causes no copies.
 	inline constexpr milliseconds max_request_wait{150};
 
+	/// Returns how long after the arrival of a request its caller has gone, if no further copy of it arrives.
+	/// \param timeout	After which the caller gives up in any case; 0 if none.
+	/// \param copies	Retransmissions so far. The next one is due 200 ms after the request, and each further one after
+	///				twice the previous interval, at most 1.6 s.
+	[[nodiscard]] milliseconds presence_of_sender(std::uint32_t copies, milliseconds timeout) noexcept;
+
 	/// What became of a packet that was to wait.
 	enum class queue_result : std::uint8_t
 	{
 		added,
-		duplicate, ///< The same packet waits already.
+		duplicate, ///< The same packet waits already; its copies are counted.
 		full
 	};
 
@@ -64,10 +71,13 @@
 	[[nodiscard]] std::optional<flow_id> choose_waiting_flow(const request_queue& queue, const admission_usage& usage,
 															 std::uint32_t slots, monotonic_time now);
 
-	/// Returns the flow of the oldest request that has waited for `max_request_wait`.
+	/// Returns the flow of the oldest request that has waited for `max_request_wait` and is not repeated.
 	[[nodiscard]] std::optional<flow_id> find_overdue_flow(const request_queue& queue, monotonic_time now);
 
-	/// Returns when the oldest request will have waited for `max_request_wait`.
+	/// Returns the flow of the oldest request whose caller has gone.
+	[[nodiscard]] std::optional<flow_id> find_abandoned_flow(const request_queue& queue, monotonic_time now);
+
+	/// Returns when the first of the waiting requests becomes overdue or abandoned.
 	[[nodiscard]] std::optional<monotonic_time> next_request_deadline(const request_queue& queue);
 
 	/// Returns the priorities of the waiting requests.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -323,21 +323,19 @@
 			/// Counts a packet of an open flow that is not forwarded, and logs the request that it starts.
 			void drop_request_packet(const steering::queued_packet& packet)
 			{
-				node_.metrics.add(counter::packets_dropped, reason::slots_full);
+				node_.metrics.add(counter::packets_dropped, reason::caller_gone);
 				if (!packet.starts_request)
 				{
 					return;
 				}
 				const auto now = node_.loop.now();
 				const auto traffic = traffic_class_of(node_.catalog, packet.flow.route);
-				node_.metrics_by_class.record_declined(traffic, reason::slots_full);
+				node_.metrics_by_class.record_declined(traffic, reason::caller_gone);
 				node_.log.write(
-					log_level::info, "request_dropped",
-					"request not forwarded to a busy upstream; its caller repeats it",
+					log_level::info, "request_dropped", "waiting request dropped; its caller sent no further copy",
 					{{"flow", fmt::format("{}>{}", to_string(packet.flow.caller), to_string(packet.flow.route))},
 					 {"class", class_text(packet.flow.route)},
 					 {"wait_ms", age_ms(packet.queued_at, now)},
-					 {"since_first_ms", age_ms(packet.since, now)},
 					 {"at_work", std::to_string(state_.requests_in_progress)},
 					 {"version", std::to_string(node_.catalog.version)}});
 			}
--- a/src/steering/admission_order.cpp
+++ b/src/steering/admission_order.cpp
@@ -174,6 +174,14 @@
 		record_use(usage.callers, admitted.priority, static_cast<std::uint32_t>(admitted.caller), amount, now);
 	}
 
+	bool is_below_lowest_share(const admission_usage& usage, std::uint8_t priority, monotonic_time now) noexcept
+	{
+		// Part of what starts is rejected by the upstream or answered too late, so more has to start.
+		constexpr double margin = 1.5;
+		return value_of(usage.classes[priority].recent, class_use_half_life, now) <
+			   margin * lowest_class_share * value_of(usage.recent, class_use_half_life, now);
+	}
+
 	std::size_t choose_next(const admission_usage& usage, std::span<const admission_candidate> candidates,
 							std::uint32_t slots, arrival_order order, monotonic_time now) noexcept
 	{
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -325,6 +325,11 @@
 			{
 				return false;
 			}
+			// While urgent requests alone take all room, a class that is starved does not wait for it.
+			if (is_below_lowest_share(state.usage, traffic_class_of(known, id.route).priority, now))
+			{
+				return false;
+			}
 			return count_delivered_requests(state, now) >= delivered_requests_ratio * std::max(own->entry.slots, 1U);
 		}
 
@@ -334,10 +339,13 @@
 			return traffic_class_of(known, route).kind != request_kind::non_idempotent;
 		}
 
-		/// Returns when a packet arrived first, also if it was dropped then.
-		[[nodiscard]] monotonic_time first_arrival(const agent_flow& flow, const segment& packet, monotonic_time now)
+		/// Returns how long a request can wait so that its caller still gets the response: it takes a slot time, after
+		/// at most one in the upstream's queue. \returns	0 if the route has no timeout.
+		[[nodiscard]] milliseconds longest_wait(const agent_state& state, const catalog& known,
+												const ipv4_endpoint& route)
 		{
-			return flow.dropped && flow.dropped->sequence == packet.sequence ? flow.dropped->since : now;
+			const auto timeout = traffic_class_of(known, route).timeout;
+			return timeout.count() > 0 ? std::max(timeout - 2 * mean_cost(state), milliseconds{1}) : milliseconds{0};
 		}
 
 		/// Forgets packets that leave the queue without being forwarded, so that copies of them count as new data.
@@ -354,7 +362,6 @@
 				if (packet.starts_request)
 				{
 					flow.highest_sequence = packet.sequence;
-					flow.dropped = {.sequence = packet.sequence, .since = packet.since};
 					set_request_in_progress(state, packet.flow, flow, false);
 				}
 				flow.caller_closed = flow.caller_closed && !packet.fin;
@@ -389,7 +396,7 @@
 															.priority = priority_of_route(state, known, id.route),
 															.zone = zone_of_balancer(state, flow.last_balancer),
 															.queued_at = now,
-															.since = first_arrival(flow, packet, now),
+															.timeout = longest_wait(state, known, id.route),
 															.bytes = {msg.packet.begin(), msg.packet.end()}});
 			decision.to_upstream = result == queue_result::full;
 			if (decision.to_upstream)
@@ -665,16 +672,18 @@
 		const auto slots = own == nullptr ? 1 : std::max(own->entry.slots, 1U);
 		while (!state.requests.waiting.empty())
 		{
-			const bool room = !orders || count_delivered_requests(state, now) < delivered_requests_ratio * slots;
-			const auto overdue = find_overdue_flow(state.requests, now);
-			if (overdue && !room && state.requests.waiting.front().repeatable)
+			if (const auto abandoned = find_abandoned_flow(state.requests, now); abandoned && orders)
 			{
-				auto dropped = take_packets(state.requests, *overdue);
+				auto dropped = take_packets(state.requests, *abandoned);
 				forget_packets(state, dropped);
 				std::ranges::move(dropped, std::back_inserter(due.dropped));
 				continue;
 			}
-			const auto next = overdue || !room ? overdue : choose_waiting_flow(state.requests, state.usage, slots, now);
+			auto next = find_overdue_flow(state.requests, now);
+			if (!next && (!orders || count_delivered_requests(state, now) < delivered_requests_ratio * slots))
+			{
+				next = choose_waiting_flow(state.requests, state.usage, slots, now);
+			}
 			if (!next)
 			{
 				break;
--- a/src/steering/request_queue.cpp
+++ b/src/steering/request_queue.cpp
@@ -5,6 +5,43 @@
 
 namespace nutmegturn::steering
 {
+	namespace
+	{
+		constexpr milliseconds first_interval{200};
+		constexpr milliseconds longest_interval{1'600};
+
+		/// A caller whose next copy is overdue by this much has gone.
+		constexpr milliseconds copy_margin{100};
+
+		/// Returns when a waiting request becomes overdue, or abandoned if its caller repeats it.
+		[[nodiscard]] monotonic_time deadline_of(const queued_packet& request) noexcept
+		{
+			return request.queued_at +
+				   (request.repeatable ? presence_of_sender(request.copies, request.timeout) : max_request_wait);
+		}
+
+		template <typename Predicate>
+		[[nodiscard]] std::optional<flow_id> find_flow(const request_queue& queue, Predicate matches)
+		{
+			const auto found = std::ranges::find_if(queue.waiting, [&matches](const auto& it)
+													{ return it.starts_request && matches(it); });
+			return found == queue.waiting.end() ? std::nullopt : std::optional{found->flow};
+		}
+	}
+
+	milliseconds presence_of_sender(std::uint32_t copies, milliseconds timeout) noexcept
+	{
+		milliseconds interval = first_interval;
+		milliseconds age = interval;
+		// A caller gives up after 8 copies at the latest.
+		for (std::uint32_t i = 0; i < std::min(copies, 8U); ++i)
+		{
+			interval = std::min(2 * interval, longest_interval);
+			age += interval;
+		}
+		return timeout.count() > 0 ? std::min(age + copy_margin, timeout) : age + copy_margin;
+	}
+
 	bool has_waiting_packets(const request_queue& queue, const flow_id& flow)
 	{
 		return std::ranges::find(queue.waiting, flow, &queued_packet::flow) != queue.waiting.end();
@@ -12,15 +49,16 @@
 
 	queue_result add_packet(request_queue& queue, queued_packet packet)
 	{
-		const bool waits_already =
-			std::ranges::any_of(queue.waiting,
-								[&packet](const auto& it)
-								{
-									return it.flow == packet.flow && it.sequence == packet.sequence &&
-										   it.payload_size == packet.payload_size && it.fin == packet.fin;
-								});
-		if (waits_already)
+		const auto same = std::ranges::find_if(queue.waiting,
+											   [&packet](const auto& it)
+											   {
+												   return it.flow == packet.flow && it.sequence == packet.sequence &&
+														  it.payload_size == packet.payload_size &&
+														  it.fin == packet.fin;
+											   });
+		if (same != queue.waiting.end())
 		{
+			++same->copies;
 			return queue_result::duplicate;
 		}
 		if (queue.waiting.size() >= max_waiting_packets)
@@ -57,7 +95,7 @@
 			if (it.starts_request)
 			{
 				candidates.push_back(
-					{.priority = it.priority, .zone = it.zone, .caller = it.flow.caller.ip, .since = it.since});
+					{.priority = it.priority, .zone = it.zone, .caller = it.flow.caller.ip, .since = it.queued_at});
 				packets.push_back(&it);
 			}
 		}
@@ -70,13 +108,25 @@
 
 	std::optional<flow_id> find_overdue_flow(const request_queue& queue, monotonic_time now)
 	{
-		const auto deadline = next_request_deadline(queue);
-		return deadline && *deadline <= now ? std::optional{queue.waiting.front().flow} : std::nullopt;
+		return find_flow(queue, [now](const auto& it) { return !it.repeatable && deadline_of(it) <= now; });
+	}
+
+	std::optional<flow_id> find_abandoned_flow(const request_queue& queue, monotonic_time now)
+	{
+		return find_flow(queue, [now](const auto& it) { return it.repeatable && deadline_of(it) <= now; });
 	}
 
 	std::optional<monotonic_time> next_request_deadline(const request_queue& queue)
 	{
-		return queue.waiting.empty() ? std::nullopt : std::optional{queue.waiting.front().queued_at + max_request_wait};
+		std::optional<monotonic_time> first;
+		for (const auto& it : queue.waiting)
+		{
+			if (it.starts_request)
+			{
+				first = std::min(first.value_or(deadline_of(it)), deadline_of(it));
+			}
+		}
+		return first;
 	}
 
 	std::vector<std::uint8_t> priorities_of_requests(const request_queue& queue)
