--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -68,7 +68,8 @@
 		std::uint64_t flow = 0;
 		for (auto _ : state)
 		{
-			benchmark::DoNotOptimize(choose_upstream(known, service, loads, "1", {}, detail::mix_bits(++flow), 0, now));
+			benchmark::DoNotOptimize(choose_upstream(known, service, loads, "1", {}, detail::mix_bits(++flow), 0,
+													 placement_policy::request_cost, now));
 		}
 	}
 	BENCHMARK(placement)->Arg(50)->Arg(64)->Arg(65)->Arg(1'000)->Arg(10'000)->Arg(70'000);
--- a/include/nutmegturn/steering/admission_order.hpp
+++ b/include/nutmegturn/steering/admission_order.hpp
@@ -106,7 +106,8 @@
 	void record_admission(admission_usage& usage, const admission_candidate& admitted, milliseconds slot_time,
 						  monotonic_time now);
 
-	/// Returns whether a class got less than `lowest_class_share` of the slot time of the last second.
+	/// Returns whether a class got less than its part of `lowest_class_share` in the slot time of the last second. The
+	/// classes with recent use other than one have equal parts.
 	[[nodiscard]] bool is_below_lowest_share(const admission_usage& usage, std::uint8_t priority,
 											 monotonic_time now) noexcept;
 
--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -23,6 +23,14 @@
 		open         ///< The upstream has sent data or acknowledgements.
 	};
 
+	/// Request that left the queue without being forwarded. A copy of it keeps its age.
+	struct forgotten_request
+	{
+		std::uint32_t sequence = 0; ///< Of its first packet.
+		std::uint32_t copies = 0;   ///< Retransmissions that had arrived.
+		monotonic_time arrived_at;
+	};
+
 	/// Flow table entry of an agent. The upstream's state is authoritative: a lost entry is rebuilt from its packets.
 	struct agent_flow
 	{
@@ -32,13 +40,14 @@
 		bool request_delivered = false;   ///< The request in progress was forwarded to the upstream.
 		bool slot_time_recorded = false;  ///< The first request is in `agent_state::usage` since the flow's admission.
 		monotonic_time delivered_at;      ///< When the request in progress was forwarded.
-		bool request_seen_from_start = false; ///< Otherwise the cost of the request in progress is not learned.
-		bool caller_closed = false;           ///< The caller sent FIN.
-		bool upstream_closed = false;         ///< The upstream sent FIN.
-		bool sequence_known = false;          ///< `highest_sequence` is valid.
-		std::uint32_t highest_sequence = 0;   ///< End of the caller's newest data.
-		std::uint32_t acknowledgement = 0;    ///< The caller's newest; a reset needs a sequence number near it.
-		monotonic_time added_at;              ///< Creation of this entry.
+		std::optional<forgotten_request> forgotten; ///< Latest one.
+		bool request_seen_from_start = false;       ///< Otherwise the cost of the request in progress is not learned.
+		bool caller_closed = false;                 ///< The caller sent FIN.
+		bool upstream_closed = false;               ///< The upstream sent FIN.
+		bool sequence_known = false;                ///< `highest_sequence` is valid.
+		std::uint32_t highest_sequence = 0;         ///< End of the caller's newest data.
+		std::uint32_t acknowledgement = 0;          ///< The caller's newest; a reset needs a sequence number near it.
+		monotonic_time added_at;                    ///< Creation of this entry.
 		monotonic_time last_used;
 		std::vector<ipv4> waiting_balancers; ///< Balancers to notify whether the upstream holds the flow.
 		ipv4 last_balancer{};                ///< Balancer that sent the last packet.
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -20,6 +20,7 @@
 		std::vector<ipv4> unanswered; ///< Those of `tried` without an answer; one may have opened the flow.
 		monotonic_time last_used;
 		monotonic_time opened_at{};       ///< When the caller sent its first opening packet; the epoch if unknown.
+		std::uint32_t first_copy = 0;     ///< Number of the first copy of that packet that arrived here.
 		std::uint32_t last_copy = 0;      ///< Number of the caller's last retransmission of that packet.
 		monotonic_time sent_at{};         ///< When `holder` was sent the opening packet last.
 		std::uint32_t copy_at_holder = 0; ///< Number of the retransmission that followed the packet there; 0 if none.
@@ -55,13 +56,14 @@
 		std::unordered_map<flow_id, balancer_flow, flow_id_hash> flows;
 		load_table loads;
 		placement_budget budget{};
+		placement_policy placement = placement_policy::request_count;
 	};
 
 	/// Capacity of a balancer's flow table. Flows beyond it are steered by search only.
 	inline constexpr std::size_t max_balancer_flows = 65'536;
 
-	/// Reports of work that are older carry no information.
-	inline constexpr milliseconds work_report_lifetime{1'000};
+	/// Reports of work that are older carry no information. Agents report at least once a second.
+	inline constexpr milliseconds work_report_lifetime{1'500};
 
 	/// Decides where a caller's packet goes.
 	///
--- a/include/nutmegturn/steering/node_settings.hpp
+++ b/include/nutmegturn/steering/node_settings.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegturn/steering/ipv4.hpp"
+#include "nutmegturn/steering/placement_policy.hpp"
 #include "nutmegturn/steering/records.hpp"
 
 #include <cstdint>
@@ -21,6 +22,8 @@
 		milliseconds stop_grace{0};   ///< Time from the stop signal until the process is killed.
 		bool first_start = false;     ///< First start of the whole deployment.
 
+		placement_policy placement = placement_policy::request_count; ///< Only for balancers.
+
 		/// \name Only for agents
 		/// @{
 		std::string service;
--- a/include/nutmegturn/steering/upstream_choice.hpp
+++ b/include/nutmegturn/steering/upstream_choice.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "nutmegturn/steering/message.hpp"
+#include "nutmegturn/steering/placement_policy.hpp"
 #include "nutmegturn/steering/work_report.hpp"
 
 #include <optional>
@@ -69,9 +70,12 @@
 	/// \param excluded	Instances that were already tried for this flow.
 	/// \param hash		Hash of the flow; spreads flows over equal upstreams.
 	/// \param priority	Priority of the flow's requests.
+	/// \param policy	With `request_count`, work reports are not used, all upstreams are compared, and only those of
+	///					exactly equal load are chosen by hash.
 	/// \returns		The upstream, or null if none accepts new flows.
 	[[nodiscard]] const known_upstream* choose_upstream(const catalog& known, service_key service,
 														const load_table& loads, std::string_view zone,
 														std::span<const ipv4> excluded, std::uint64_t hash,
-														std::uint8_t priority, monotonic_time now);
+														std::uint8_t priority, placement_policy policy,
+														monotonic_time now);
 }
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -343,18 +343,19 @@
 			void schedule_request_check()
 			{
 				const auto deadline = next_request_deadline(state_.requests);
-				if (request_check_scheduled_ || !deadline)
+				if (!deadline || (request_check_timer_ != 0 && request_check_at_ <= *deadline))
 				{
 					return;
 				}
-				request_check_scheduled_ = true;
-				node_.loop.call_at(*deadline,
-								   [this]
-								   {
-									   check_for_pause();
-									   request_check_scheduled_ = false;
-									   forward_waiting_requests();
-								   });
+				node_.loop.cancel(request_check_timer_);
+				request_check_at_ = *deadline;
+				request_check_timer_ = node_.loop.call_at(*deadline,
+														  [this]
+														  {
+															  check_for_pause();
+															  request_check_timer_ = 0;
+															  forward_waiting_requests();
+														  });
 			}
 
 			void schedule_queue_check()
@@ -765,7 +766,8 @@
 			std::optional<runtime::send_batch> to_upstream_;
 			steering::loop_times loop_times_;
 			bool queue_check_scheduled_ = false;
-			bool request_check_scheduled_ = false;
+			std::uint64_t request_check_timer_ = 0;          ///< 0 if none is scheduled.
+			monotonic_time request_check_at_;                ///< Time of that timer.
 			steering::store_revision newest_entry_revision_; ///< Of the own upstream, according to any process.
 			steering::record_evidence heard_of_upstreams_;   ///< Latest evidence of a balancer, of the whole group.
 		};
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -152,6 +152,7 @@
 					node_.metrics.add(counter::packets_dropped, packet ? reason::not_current : reason::malformed);
 					return;
 				}
+				state_.placement = node_.settings.placement;
 				// The reset of an opening packet breaks no open flow, so it needs no further confirmation.
 				const bool current = packet->syn && node_.configuration_current();
 				const auto decision = steer_packet(state_, node_.catalog, *packet, node_.loop.now(), current);
--- a/src/steering/admission_order.cpp
+++ b/src/steering/admission_order.cpp
@@ -178,8 +178,15 @@
 	{
 		// Part of what starts is rejected by the upstream or answered too late, so more has to start.
 		constexpr double margin = 1.5;
-		return value_of(usage.classes[priority].recent, class_use_half_life, now) <
-			   margin * lowest_class_share * value_of(usage.recent, class_use_half_life, now);
+		const auto own = value_of(usage.classes[priority].recent, class_use_half_life, now);
+		const auto part = margin * lowest_class_share * value_of(usage.recent, class_use_half_life, now);
+		if (own >= part)
+		{
+			return false;
+		}
+		const auto others = std::ranges::count_if(usage.classes, [now](const auto& it)
+												  { return value_of(it.recent, class_use_half_life, now) >= 1.0; });
+		return own * static_cast<double>(std::max<std::ptrdiff_t>(others - 1, 1)) < part;
 	}
 
 	std::size_t choose_next(const admission_usage& usage, std::span<const admission_candidate> candidates,
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -319,8 +319,8 @@
 			const auto service = state.gate.service;
 			const auto* own = own_upstream(state.gate, known);
 			// A packet of a flow that this upstream may not hold is not delayed: its balancer looks for the holder.
-			if (own == nullptr || state.gate.stopping || flow.stage == flow_stage::unconfirmed ||
-				!has_priorities(known, service) ||
+			if (own == nullptr || own->entry.slots == 0 || state.gate.stopping ||
+				flow.stage == flow_stage::unconfirmed || !has_priorities(known, service) ||
 				traffic_class_of(known, id.route).priority <= most_urgent_priority(known, service))
 			{
 				return false;
@@ -362,6 +362,8 @@
 				if (packet.starts_request)
 				{
 					flow.highest_sequence = packet.sequence;
+					flow.forgotten = {
+						.sequence = packet.sequence, .copies = packet.copies, .arrived_at = packet.queued_at};
 					set_request_in_progress(state, packet.flow, flow, false);
 				}
 				flow.caller_closed = flow.caller_closed && !packet.fin;
@@ -387,6 +389,7 @@
 			{
 				return;
 			}
+			const bool returns = flow.forgotten && flow.forgotten->sequence == packet.sequence;
 			const auto result = add_packet(state.requests, {.flow = id,
 															.sequence = packet.sequence,
 															.payload_size = packet.payload_size,
@@ -395,7 +398,8 @@
 															.repeatable = is_repeatable(known, id.route),
 															.priority = priority_of_route(state, known, id.route),
 															.zone = zone_of_balancer(state, flow.last_balancer),
-															.queued_at = now,
+															.queued_at = returns ? flow.forgotten->arrived_at : now,
+															.copies = returns ? flow.forgotten->copies + 1 : 0,
 															.timeout = longest_wait(state, known, id.route),
 															.bytes = {msg.packet.begin(), msg.packet.end()}});
 			decision.to_upstream = result == queue_result::full;
@@ -419,8 +423,15 @@
 							 .requests = state.requests_in_progress + requests_due(state, now),
 							 .delivered = {},
 							 .waiting_requests = priorities_of_requests(state.requests)};
-			std::ranges::transform(state.unanswered, std::back_inserter(ahead.delivered),
-								   &unanswered_request::priority);
+			const auto counted = std::ranges::lower_bound(state.unanswered, oldest_counted_delivery(state, now), {},
+														  &unanswered_request::at);
+			std::transform(counted, state.unanswered.end(), std::back_inserter(ahead.delivered),
+						   [](const auto& it) { return it.priority; });
+			if (has_priorities(known, state.gate.service))
+			{
+				// Without requests that have been unanswered for so long that they no longer count.
+				ahead.requests = ahead.delivered.size() + ahead.waiting_requests.size() + requests_due(state, now);
+			}
 			return ahead;
 		}
 
@@ -633,6 +644,10 @@
 
 	std::optional<waiting_opening> take_admissible_opening(agent_state& state, const catalog& known, monotonic_time now)
 	{
+		if (state.queue.waiting.empty())
+		{
+			return std::nullopt;
+		}
 		const auto ahead = find_work_ahead(state, known, now);
 		if (!ahead || !has_priorities(known, state.gate.service))
 		{
@@ -644,7 +659,10 @@
 	opening_queue_decision take_expired_openings(agent_state& state, const catalog& known, monotonic_time now)
 	{
 		opening_queue_decision decision;
-		decision.abandoned = take_abandoned_openings(state.queue, now);
+		if (has_priorities(known, state.gate.service))
+		{
+			decision.abandoned = take_abandoned_openings(state.queue, now);
+		}
 		if (!admits_new_flows(state.gate, known, now))
 		{
 			decision.returned = std::exchange(state.queue.waiting, {});
@@ -667,9 +685,13 @@
 	request_queue_decision take_due_requests(agent_state& state, const catalog& known, monotonic_time now)
 	{
 		request_queue_decision due;
+		if (state.requests.waiting.empty())
+		{
+			return due;
+		}
 		const auto* own = own_upstream(state.gate, known);
-		const bool orders = own != nullptr && has_priorities(known, state.gate.service);
-		const auto slots = own == nullptr ? 1 : std::max(own->entry.slots, 1U);
+		const auto slots = own == nullptr ? 0 : own->entry.slots;
+		const bool orders = slots > 0 && has_priorities(known, state.gate.service);
 		while (!state.requests.waiting.empty())
 		{
 			if (const auto abandoned = find_abandoned_flow(state.requests, now); abandoned && orders)
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -173,6 +173,7 @@
 			if (flow.opened_at == monotonic_time{} || (copy == 0 && has_caller_gone(flow, traffic, now)))
 			{
 				flow.opened_at = opened_at;
+				flow.first_copy = copy;
 				flow.last_copy = copy;
 				return;
 			}
@@ -304,7 +305,7 @@
 			const auto service = choose_service(route, hash);
 			const auto* chosen = flow.tried.size() < max_tried_upstreams
 									 ? choose_upstream(known, service, state.loads, state.zone, flow.tried, hash,
-													   route.traffic.priority, now)
+													   route.traffic.priority, state.placement, now)
 									 : nullptr;
 			flow.confirmed = false;
 			if (chosen == nullptr && wait_for_unanswered(flow))
@@ -350,6 +351,13 @@
 				   load.report.admission != admission_status::cold;
 		}
 
+		/// Returns whether a message after the work report shows that requests can start at once.
+		[[nodiscard]] bool has_free_slots_since_report(const upstream_load& load, std::uint32_t slots) noexcept
+		{
+			return load.reported_at > load.work_reported_at && load.report.admission == admission_status::accepting &&
+				   load.report.requests_in_progress + load.flows_since_report < full_slots_ratio * slots;
+		}
+
 		/// Rejects a new flow if all upstreams that accept flows report that it would wait for longer than its caller.
 		/// \returns	The rejection, or nothing.
 		[[nodiscard]] std::optional<steering_decision> reject_if_overloaded(const balancer_state& state,
@@ -367,7 +375,8 @@
 					continue;
 				}
 				if (found == state.loads.end() || !reports_waiting(found->second, traffic.priority, now) ||
-					found->second.work->opening_wait <= caller_timeout(traffic))
+					found->second.work->opening_wait <= caller_timeout(traffic) ||
+					has_free_slots_since_report(found->second, std::max(it->entry.slots, 1U)))
 				{
 					return std::nullopt;
 				}
@@ -480,6 +489,15 @@
 			return busy && of_service && state.loads.at(agent).work;
 		}
 
+		/// Returns whether another balancer may have placed a copy of a flow's opening packet: this one did not get the
+		/// first copy, or a copy that was due. A reset could then break a flow that has opened.
+		[[nodiscard]] bool may_be_placed_elsewhere(const balancer_flow& flow, monotonic_time now) noexcept
+		{
+			const bool copy_due =
+				flow.last_copy < last_retransmission && now - flow.opened_at >= age_of_copy(flow.last_copy + 1);
+			return flow.first_copy > 0 || copy_due;
+		}
+
 		/// Places an opening packet that a busy upstream returned. Beyond the budget it goes only to an upstream that
 		/// reports room.
 		[[nodiscard]] steering_decision place_again(balancer_state& state, const catalog& known,
@@ -502,8 +520,10 @@
 				}
 				if (chosen == nullptr)
 				{
+					const bool opened_elsewhere = may_be_placed_elsewhere(flow, now);
 					state.flows.erase(id);
-					return reject(steering_decision::action::reset, reason::retry_budget_spent);
+					return reject(opened_elsewhere ? steering_decision::action::drop : steering_decision::action::reset,
+								  reason::retry_budget_spent);
 				}
 				decision = send_opening(state, flow, *chosen, service, now);
 			}
@@ -516,10 +536,9 @@
 
 		/// Returns whether an agent returned an earlier copy of the opening packet while a later one was on its way
 		/// there. The later copy gets its own answer; placing the earlier one could open the flow twice.
-		[[nodiscard]] bool is_crossed_by_later_copy(const balancer_flow& flow, const segment& packet,
-													monotonic_time now)
+		[[nodiscard]] bool is_crossed_by_later_copy(const balancer_flow& flow, const segment& packet) noexcept
 		{
-			return packet.acknowledgement < flow.copy_at_holder && now - flow.sent_at < agent_answer_timeout;
+			return packet.acknowledgement < flow.copy_at_holder;
 		}
 
 		[[nodiscard]] steering_decision handle_decline(balancer_state& state, const catalog& known, const message& msg,
@@ -542,7 +561,7 @@
 				std::erase(flow.unanswered, agent);
 				return {};
 			}
-			if (is_crossed_by_later_copy(flow, packet, now))
+			if (is_crossed_by_later_copy(flow, packet))
 			{
 				return {};
 			}
@@ -556,7 +575,7 @@
 				return reject(steering_decision::action::drop, reason::caller_gone);
 			}
 			const auto service = choose_service(route->second, hash_flow(id));
-			return is_returned_as_full(state, known, msg, service, agent)
+			return has_priorities(known, service) && is_returned_as_full(state, known, msg, service, agent)
 					   ? place_again(state, known, route->second, id, flow, now)
 					   : place_flow(state, known, route->second, id, flow, now);
 		}
--- a/src/steering/settings_change.cpp
+++ b/src/steering/settings_change.cpp
@@ -28,6 +28,7 @@
 	{
 		settings_change change;
 		apply_if_changed(current.stop_grace, read.stop_grace, "stop_grace", change);
+		apply_if_changed(current.placement, read.placement, "placement", change);
 		apply_if_changed(current.store, read.store, "store", change);
 		report_if_changed(current.name, read.name, "name", change);
 		report_if_changed(current.zone, read.zone, "zone", change);
--- a/src/steering/upstream_choice.cpp
+++ b/src/steering/upstream_choice.cpp
@@ -30,7 +30,7 @@
 		constexpr double other_zone_cost = spill_load;
 
 		/// Reports that are older than this carry no information about the speed of the upstream or the wait there.
-		constexpr milliseconds max_work_report_age{1'000};
+		constexpr milliseconds max_work_report_age{1'500};
 
 		/// Largest slowness, and largest ratio in either direction between the mean cost that an upstream reports and
 		/// the median of the service: a false report must not change how the other upstreams compare.
@@ -82,6 +82,7 @@
 			std::span<const ipv4> excluded;
 			std::uint64_t hash;
 			std::uint8_t priority;
+			placement_policy policy;
 			monotonic_time now;
 		};
 
@@ -293,9 +294,10 @@
 			}
 			const auto& load = *it.load;
 			cost += load.reported_at == monotonic_time{} ? unheard_agent_cost : 0.0;
-			cost += expected_wait(*it.upstream, load, service_mean, query.now);
+			// The outstanding work includes waiting packets.
+			cost += std::max(expected_wait(*it.upstream, load, service_mean, query.now),
+							 opening_wait(load, service_mean, query.priority, query.now));
 			cost += slowness(load, service_mean, query.now);
-			cost += opening_wait(load, service_mean, query.priority, query.now);
 			constexpr double percent = 100;
 			cost += failure_cost * load.report.failure_percent / percent;
 			return cost;
@@ -461,6 +463,32 @@
 		}
 	}
 
+	namespace
+	{
+		/// Returns the candidate with the fewest requests for its slots, or null if there is none.
+		[[nodiscard]] const known_upstream* choose_by_count(std::span<const candidate> candidates,
+															const placement_query& query)
+		{
+			constexpr double unknown_mean = 0;
+			candidate best;
+			std::uint64_t best_rank = 0;
+			for (auto it : candidates)
+			{
+				it.cost = placement_cost(it, query, unknown_mean);
+				it.last_resort = it.load != nullptr && is_last_resort(*it.load, query.now);
+				const auto rank =
+					detail::mix_bits(query.hash ^ static_cast<std::uint32_t>(it.upstream->entry.address.ip));
+				const bool equal = best.upstream != nullptr && !is_before(it, best) && !is_before(best, it);
+				if (best.upstream == nullptr || is_before(it, best) || (equal && rank > best_rank))
+				{
+					best = it;
+					best_rank = rank;
+				}
+			}
+			return best.upstream;
+		}
+	}
+
 	void record_placement(upstream_load& load, monotonic_time now) noexcept
 	{
 		const double unanswered = unanswered_flows(load, now);
@@ -473,7 +501,7 @@
 
 	const known_upstream* choose_upstream(const catalog& known, service_key service, const load_table& loads,
 										  std::string_view zone, std::span<const ipv4> excluded, std::uint64_t hash,
-										  std::uint8_t priority, monotonic_time now)
+										  std::uint8_t priority, placement_policy policy, monotonic_time now)
 	{
 		const auto found = known.by_service.find(service);
 		if (found == known.by_service.end())
@@ -486,8 +514,13 @@
 									.excluded = excluded,
 									.hash = hash,
 									.priority = priority,
+									.policy = policy,
 									.now = now};
 		const auto& upstreams = found->second;
+		if (policy == placement_policy::request_count)
+		{
+			return choose_by_count(all_candidates(upstreams, query), query);
+		}
 		if (upstreams.size() > max_compared_upstreams)
 		{
 			candidate best;
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -39,18 +39,17 @@
 
 	const known_upstream* own_upstream(const upstream_gate& gate, const catalog& known)
 	{
-		const auto found = known.by_service.find(gate.service);
-		if (found == known.by_service.end())
-		{
-			return nullptr;
-		}
 		const known_upstream* latest = nullptr;
-		for (const auto* it : found->second)
+		for (auto it = known.by_address.lower_bound({.ip = gate.instance, .port = 0});
+			 it != known.by_address.end() && it->first.ip == gate.instance; ++it)
 		{
-			const bool own = it->entry.address.ip == gate.instance;
-			if (own && (latest == nullptr || registered_later(*it, *latest)))
+			for (const auto* upstream : it->second)
 			{
-				latest = it;
+				const bool own = upstream->service == gate.service;
+				if (own && (latest == nullptr || registered_later(*upstream, *latest)))
+				{
+					latest = upstream;
+				}
 			}
 		}
 		return latest;
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -211,6 +211,7 @@
 			overloaded_upstream upstream{after_power_loss, take_newest_opening};
 			upstream.known.upstreams.clear();
 			upstream.known.by_service.clear();
+			upstream.known.by_address.clear();
 			EXPECT_FALSE(is_saturated(upstream.state, upstream.known, now));
 		}
 
--- a/tests/steering_priority_test.cpp
+++ b/tests/steering_priority_test.cpp
@@ -556,6 +556,7 @@
 			const auto requests = state().requests.waiting.size();
 			world.known.upstreams.clear();
 			world.known.by_service.clear();
+			world.known.by_address.clear();
 			EXPECT_EQ(take_due_requests(state(), world.known, world.now).delivered.size(), requests);
 		}
 
