--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -333,6 +333,21 @@
 									 "[bounds]\ngrace_s = 6\n[platform]\naddress = \"10.200.1.7:8169\"\n";
 		};
 
+		// Guards against a misspelt placement that is taken for the default without a word.
+		TEST_F(settings_file, names_the_placements_that_are_accepted)
+		{
+			EXPECT_EQ(std::get<0>(read(good)).placement, steering::placement_policy::request_count);
+			const auto by_cost = read("placement = \"request_cost\"\n" + good);
+			EXPECT_EQ(std::get<0>(by_cost).placement, steering::placement_policy::request_cost);
+			for (const auto* value : {"\"cost\"", "1", "[]"})
+			{
+				const auto refused = read(fmt::format("placement = {}\n", value) + good);
+				ASSERT_FALSE(has_value(refused)) << value;
+				EXPECT_EQ(std::get<1>(refused).path, "placement");
+				EXPECT_EQ(std::get<1>(refused).expected, "one of request_count, request_cost");
+			}
+		}
+
 		// Guards against a process that fails to start because the platform added a settings field.
 		TEST_F(settings_file, ignores_unknown_fields)
 		{
