--- a/include/nutmegturn/steering/admission_order.hpp
+++ b/include/nutmegturn/steering/admission_order.hpp
@@ -20,7 +20,7 @@
 	struct admission_candidate
 	{
 		std::uint8_t priority = lowest_priority; ///< Of its traffic class.
-		std::uint32_t zone = 0;                  ///< Key of the caller's availability zone; 0 if unknown.
+		std::uint32_t zone = 0;                  ///< Key of the zone of the balancer that sent it; 0 if unknown.
 		ipv4 caller{};
 		monotonic_time since; ///< Arrival.
 	};
@@ -28,8 +28,8 @@
 	/// Order of work whose class and callers have equal claims.
 	enum class arrival_order : std::uint8_t
 	{
-		oldest_first, ///< For requests on open flows.
-		newest_first  ///< For opening packets: under overload the newest can still be answered in time.
+		oldest_first,
+		newest_first ///< In an overload the newest can still be answered in time.
 	};
 
 	/// Share of the recent slot time that the waiting classes other than the most urgent one get at least, in total.
@@ -106,8 +106,8 @@
 	void record_admission(admission_usage& usage, const admission_candidate& admitted, milliseconds slot_time,
 						  monotonic_time now);
 
-	/// Returns whether a class got less than its part of `lowest_class_share` in the slot time of the last second. The
-	/// classes with recent use other than one have equal parts.
+	/// Returns whether a class got less than 1.5 times its part of `lowest_class_share` in the slot time of the last
+	/// second. The classes with recent use of at least 1 ms, other than one, have equal parts.
 	[[nodiscard]] bool is_below_lowest_share(const admission_usage& usage, std::uint8_t priority,
 											 monotonic_time now) noexcept;
 
--- a/include/nutmegturn/steering/agent_flows.hpp
+++ b/include/nutmegturn/steering/agent_flows.hpp
@@ -24,7 +24,7 @@
 	};
 
 	/// Request that left the queue without being forwarded. A copy of it keeps its age.
-	struct forgotten_request
+	struct dropped_request
 	{
 		std::uint32_t sequence = 0; ///< Of its first packet.
 		std::uint32_t copies = 0;   ///< Retransmissions that had arrived.
@@ -40,14 +40,14 @@
 		bool request_delivered = false;   ///< The request in progress was forwarded to the upstream.
 		bool slot_time_recorded = false;  ///< The first request is in `agent_state::usage` since the flow's admission.
 		monotonic_time delivered_at;      ///< When the request in progress was forwarded.
-		std::optional<forgotten_request> forgotten; ///< Latest one.
-		bool request_seen_from_start = false;       ///< Otherwise the cost of the request in progress is not learned.
-		bool caller_closed = false;                 ///< The caller sent FIN.
-		bool upstream_closed = false;               ///< The upstream sent FIN.
-		bool sequence_known = false;                ///< `highest_sequence` is valid.
-		std::uint32_t highest_sequence = 0;         ///< End of the caller's newest data.
-		std::uint32_t acknowledgement = 0;          ///< The caller's newest; a reset needs a sequence number near it.
-		monotonic_time added_at;                    ///< Creation of this entry.
+		std::optional<dropped_request> last_dropped; ///< Latest request that left the queue without being forwarded.
+		bool request_seen_from_start = false;        ///< Otherwise the cost of the request in progress is not learned.
+		bool caller_closed = false;                  ///< The caller sent FIN.
+		bool upstream_closed = false;                ///< The upstream sent FIN.
+		bool sequence_known = false;                 ///< `highest_sequence` is valid.
+		std::uint32_t highest_sequence = 0;          ///< End of the caller's newest data.
+		std::uint32_t acknowledgement = 0;           ///< The caller's newest; a reset needs a sequence number near it.
+		monotonic_time added_at;                     ///< Creation of this entry.
 		monotonic_time last_used;
 		std::vector<ipv4> waiting_balancers; ///< Balancers to notify whether the upstream holds the flow.
 		ipv4 last_balancer{};                ///< Balancer that sent the last packet.
@@ -99,8 +99,9 @@
 		bool to_caller = false;                                 ///< Forward to the caller.
 		bool waits = false;                                     ///< Add the opening packet to `agent_state::queue`.
 		std::optional<monotonic_clock::duration> response_time; ///< Set for the first data of a response.
+		std::optional<monotonic_clock::duration> slot_time;     ///< Likewise, if it is known.
 		std::vector<agent_reply> replies;
-		std::vector<queued_packet> before; ///< Packets of the flow that waited; to forward before this one.
+		std::vector<queued_packet> preceding; ///< Packets of the flow that waited, to forward before this one.
 	};
 
 	/// What an agent sends after its upstream's port refused a packet.
@@ -194,8 +195,7 @@
 	[[nodiscard]] agent_decision handle_balancer_packet(agent_state& state, const catalog& known, const message& msg,
 														const segment& packet, ipv4 balancer, monotonic_time now);
 
-	/// Returns whether the upstream has as many requests as it can start soon, so that opening packets wait at the
-	/// agent, which can reorder them. With an unknown number of slots none wait.
+	/// Returns whether an opening packet of the lowest priority would wait. Returns false if the upstream has no entry.
 	[[nodiscard]] bool is_saturated(const agent_state& state, const catalog& known, monotonic_time now);
 
 	/// Returns the number of requests that were forwarded and are not answered. Those that were forwarded long ago do
--- a/include/nutmegturn/steering/opening_queue.hpp
+++ b/include/nutmegturn/steering/opening_queue.hpp
@@ -65,11 +65,11 @@
 	/// \param copy	Number of the copy, 0 for the first one.
 	[[nodiscard]] milliseconds age_of_copy(std::uint32_t copy) noexcept;
 
-	/// Returns how long after the first copy of its opening packet a caller is taken to be present. A caller whose next
-	/// copy is overdue, or whose timeout has passed, has gone: it sends nothing when it gives up.
+	/// Returns the age, from its first copy, at which an opening packet is taken to be abandoned if no further copy
+	/// arrives: the next copy is overdue, or the caller's timeout has passed. A caller that gives up sends nothing.
 	/// \param copy	Number of the newest copy that arrived.
 	/// \param timeout	After which the caller gives up, according to the route; 0 if none.
-	[[nodiscard]] milliseconds presence_of_caller(std::uint32_t copy, milliseconds timeout) noexcept;
+	[[nodiscard]] milliseconds opening_abandonment_age(std::uint32_t copy, milliseconds timeout) noexcept;
 
 	/// Adds an opening packet. A copy of one that waits already replaces it and keeps its times.
 	/// \returns	A packet of the least urgent priority, the oldest of them, if the queue was full.
@@ -106,6 +106,6 @@
 
 	/// Removes and returns the packets whose turn cannot come before they have waited for `max_opening_wait`. Their
 	/// balancers have more time to try another upstream than after the whole wait.
-	std::vector<waiting_opening> take_hopeless_openings(opening_queue& queue, const work_ahead& ahead,
-														monotonic_time now);
+	std::vector<waiting_opening> take_unservable_openings(opening_queue& queue, const work_ahead& ahead,
+														  monotonic_time now);
 }
--- a/include/nutmegturn/steering/request_queue.hpp
+++ b/include/nutmegturn/steering/request_queue.hpp
@@ -44,11 +44,11 @@
 	/// shorter wait causes no copies.
 	inline constexpr milliseconds max_request_wait{150};
 
-	/// Returns how long after the arrival of a request its caller has gone, if no further copy of it arrives.
+	/// Returns the age, from its arrival, at which a request is taken to be abandoned if no further copy arrives.
 	/// \param timeout	After which the caller gives up in any case; 0 if none.
 	/// \param copies	Retransmissions so far. The next one is due 200 ms after the request, and each further one after
 	///				twice the previous interval, at most 1.6 s.
-	[[nodiscard]] milliseconds presence_of_sender(std::uint32_t copies, milliseconds timeout) noexcept;
+	[[nodiscard]] milliseconds request_abandonment_age(std::uint32_t copies, milliseconds timeout) noexcept;
 
 	/// What became of a packet that was to wait.
 	enum class queue_result : std::uint8_t
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -224,7 +224,7 @@
 					enqueue_opening(msg, *packet, balancer);
 					return;
 				}
-				deliver(decision.before);
+				deliver(decision.preceding);
 				apply_decision(decision, *packet, msg.packet, waited);
 				schedule_request_check();
 			}
@@ -534,6 +534,11 @@
 					node_.metrics.observe(distribution::upstream_seconds,
 										  std::chrono::duration<double>{*decision.response_time}.count());
 				}
+				if (decision.slot_time)
+				{
+					const auto traffic = traffic_class_of(node_.catalog, flow_of_upstream(packet).route);
+					node_.metrics_by_class.record_slot_time(traffic, *decision.slot_time);
+				}
 				if (decision.to_upstream)
 				{
 					send_to_upstream(packet, bytes, waited);
@@ -589,8 +594,7 @@
 
 			[[nodiscard]] std::string class_text(const steering::ipv4_endpoint& route) const
 			{
-				const auto traffic = traffic_class_of(node_.catalog, route);
-				return fmt::format("{}/{}", traffic.priority, to_string(traffic.kind));
+				return to_string(traffic_class_of(node_.catalog, route));
 			}
 
 			void record_admission_by_class(const steering::ipv4_endpoint& route, monotonic_clock::duration waited)
--- a/src/steering/admission_order.cpp
+++ b/src/steering/admission_order.cpp
@@ -178,14 +178,16 @@
 	{
 		// Part of what starts is rejected by the upstream or answered too late, so more has to start.
 		constexpr double margin = 1.5;
+		constexpr double least_counted_use_ms = 1.0;
 		const auto own = value_of(usage.classes[priority].recent, class_use_half_life, now);
 		const auto part = margin * lowest_class_share * value_of(usage.recent, class_use_half_life, now);
 		if (own >= part)
 		{
 			return false;
 		}
-		const auto others = std::ranges::count_if(usage.classes, [now](const auto& it)
-												  { return value_of(it.recent, class_use_half_life, now) >= 1.0; });
+		const auto others =
+			std::ranges::count_if(usage.classes, [now](const auto& it)
+								  { return value_of(it.recent, class_use_half_life, now) >= least_counted_use_ms; });
 		return own * static_cast<double>(std::max<std::ptrdiff_t>(others - 1, 1)) < part;
 	}
 
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -69,7 +69,7 @@
 		constexpr std::size_t delivered_requests_ratio = 2;
 
 		/// How long the return of an opening packet shows that its priority waits.
-		constexpr milliseconds full_memory{500};
+		constexpr milliseconds full_report_duration{500};
 
 		/// Longest time between two iterations of a process's loop that is not a pause. Timers run every 100 ms.
 		constexpr std::chrono::seconds longest_iteration_gap{1};
@@ -157,7 +157,6 @@
 			return static_cast<std::int32_t>(a - b) > 0;
 		}
 
-		/// Records new data of the caller. The request is in progress until the upstream sends data.
 		/// What a packet of a caller carries.
 		struct caller_data
 		{
@@ -185,7 +184,7 @@
 			return {.is_new = is_new, .starts_request = flow.request_in_progress && !was_in_progress};
 		}
 
-		/// Returns the number of the upstream's slots, or 0 if it is unknown.
+		/// Returns the number of the upstream's slots, at least 1, or 0 if the upstream has no entry.
 		[[nodiscard]] std::uint32_t known_slots(const upstream_gate& gate, const catalog& known)
 		{
 			const auto* own = own_upstream(gate, known);
@@ -201,12 +200,17 @@
 		}
 
 		/// Removes the answered request from the upstream's work and learns its cost.
-		void record_answer(agent_state& state, const flow_id& id, monotonic_time now)
+		/// \returns	The request's slot time, if it is known.
+		std::optional<monotonic_clock::duration> record_answer(agent_state& state, const flow_id& id,
+															   monotonic_time now)
 		{
-			if (const auto answered = record_response(state.work, id, state.slots, now))
+			const auto answered = record_response(state.work, id, state.slots, now);
+			if (!answered)
 			{
-				record_cost(state.costs, answered->route, answered->size, answered->cost, now);
+				return std::nullopt;
 			}
+			record_cost(state.costs, answered->route, answered->size, answered->cost, now);
+			return answered->cost;
 		}
 
 		/// Updates the failure ratio, since an upstream can fail part of its requests while its health check succeeds.
@@ -236,17 +240,17 @@
 			flow.waiting_balancers.clear();
 		}
 
-		/// Zone of the balancer that sent the flow's last packet: the caller's zone, except during outages.
-		[[nodiscard]] std::uint32_t zone_of_flow(const agent_state& state, const agent_flow& flow)
+		/// Returns the zone key of a balancer; 0 if unknown.
+		[[nodiscard]] std::uint32_t zone_of_balancer(const agent_state& state, ipv4 balancer)
 		{
-			const auto found = state.balancers.find(flow.last_balancer);
+			const auto found = state.balancers.find(balancer);
 			return found == state.balancers.end() ? 0 : found->second.zone;
 		}
 
-		[[nodiscard]] std::uint32_t zone_of_balancer(const agent_state& state, ipv4 balancer)
+		/// Zone of the balancer that sent the flow's last packet: the caller's zone, except during outages.
+		[[nodiscard]] std::uint32_t zone_of_flow(const agent_state& state, const agent_flow& flow)
 		{
-			const auto found = state.balancers.find(balancer);
-			return found == state.balancers.end() ? 0 : found->second.zone;
+			return zone_of_balancer(state, flow.last_balancer);
 		}
 
 		/// Returns the priority of a route, which is the same for all routes of a service without priorities.
@@ -258,8 +262,8 @@
 		}
 
 		/// Records the expected slot time of a request that the upstream starts soon.
-		void record_slot_time(agent_state& state, const catalog& known, const flow_id& id, ipv4 balancer,
-							  monotonic_time now)
+		void record_expected_slot_time(agent_state& state, const catalog& known, const flow_id& id, ipv4 balancer,
+									   monotonic_time now)
 		{
 			if (has_priorities(known, state.gate.service))
 			{
@@ -291,7 +295,7 @@
 			record_request_delivery(state, known, id, flow, now);
 			if (!flow.slot_time_recorded)
 			{
-				record_slot_time(state, known, id, flow.last_balancer, now);
+				record_expected_slot_time(state, known, id, flow.last_balancer, now);
 			}
 			flow.slot_time_recorded = false;
 		}
@@ -349,7 +353,7 @@
 		}
 
 		/// Forgets packets that leave the queue without being forwarded, so that copies of them count as new data.
-		void forget_packets(agent_state& state, std::span<const queued_packet> packets)
+		void revert_dropped_packets(agent_state& state, std::span<const queued_packet> packets)
 		{
 			for (const auto& packet : packets)
 			{
@@ -362,7 +366,7 @@
 				if (packet.starts_request)
 				{
 					flow.highest_sequence = packet.sequence;
-					flow.forgotten = {
+					flow.last_dropped = {
 						.sequence = packet.sequence, .copies = packet.copies, .arrived_at = packet.queued_at};
 					set_request_in_progress(state, packet.flow, flow, false);
 				}
@@ -375,37 +379,38 @@
 							  agent_flow& flow, const caller_data& data, agent_decision& decision, monotonic_time now)
 		{
 			const auto id = flow_of_caller(packet);
-			const bool behind = has_waiting_packets(state.requests, id);
-			if (!behind && data.starts_request && !must_wait(state, known, id, flow, now))
+			const bool waits_behind = has_waiting_packets(state.requests, id);
+			if (!waits_behind && data.starts_request && !must_wait(state, known, id, flow, now))
 			{
 				record_delivery_and_slot_time(state, known, id, flow, now);
 				return;
 			}
-			if (!behind && !data.starts_request && data.is_new)
+			if (!waits_behind && !data.starts_request && data.is_new)
 			{
 				record_work(state, known, id, flow, now);
 			}
-			if ((!behind && !data.starts_request) || (packet.payload_size == 0 && !packet.fin))
+			if ((!waits_behind && !data.starts_request) || (packet.payload_size == 0 && !packet.fin))
 			{
 				return;
 			}
-			const bool returns = flow.forgotten && flow.forgotten->sequence == packet.sequence;
-			const auto result = add_packet(state.requests, {.flow = id,
-															.sequence = packet.sequence,
-															.payload_size = packet.payload_size,
-															.fin = packet.fin,
-															.starts_request = data.starts_request,
-															.repeatable = is_repeatable(known, id.route),
-															.priority = priority_of_route(state, known, id.route),
-															.zone = zone_of_balancer(state, flow.last_balancer),
-															.queued_at = returns ? flow.forgotten->arrived_at : now,
-															.copies = returns ? flow.forgotten->copies + 1 : 0,
-															.timeout = longest_wait(state, known, id.route),
-															.bytes = {msg.packet.begin(), msg.packet.end()}});
+			const bool is_copy_of_dropped = flow.last_dropped && flow.last_dropped->sequence == packet.sequence;
+			const auto result =
+				add_packet(state.requests, {.flow = id,
+											.sequence = packet.sequence,
+											.payload_size = packet.payload_size,
+											.fin = packet.fin,
+											.starts_request = data.starts_request,
+											.repeatable = is_repeatable(known, id.route),
+											.priority = priority_of_route(state, known, id.route),
+											.zone = zone_of_balancer(state, flow.last_balancer),
+											.queued_at = is_copy_of_dropped ? flow.last_dropped->arrived_at : now,
+											.copies = is_copy_of_dropped ? flow.last_dropped->copies + 1 : 0,
+											.timeout = longest_wait(state, known, id.route),
+											.bytes = {msg.packet.begin(), msg.packet.end()}});
 			decision.to_upstream = result == queue_result::full;
 			if (decision.to_upstream)
 			{
-				deliver_flow(state, known, id, decision.before, now);
+				deliver_flow(state, known, id, decision.preceding, now);
 			}
 		}
 
@@ -483,7 +488,7 @@
 			if (!flow->opened_here)
 			{
 				record_opening(state, *flow, now);
-				record_slot_time(state, known, id, balancer, now);
+				record_expected_slot_time(state, known, id, balancer, now);
 				flow->slot_time_recorded = true;
 			}
 			flow->opened_here = true;
@@ -672,7 +677,8 @@
 		const auto ahead = find_work_ahead(state, known, now);
 		if (ahead && has_priorities(known, state.gate.service))
 		{
-			std::ranges::move(take_hopeless_openings(state.queue, *ahead, now), std::back_inserter(decision.returned));
+			std::ranges::move(take_unservable_openings(state.queue, *ahead, now),
+							  std::back_inserter(decision.returned));
 		}
 		return decision;
 	}
@@ -697,7 +703,7 @@
 			if (const auto abandoned = find_abandoned_flow(state.requests, now); abandoned && orders)
 			{
 				auto dropped = take_packets(state.requests, *abandoned);
-				forget_packets(state, dropped);
+				revert_dropped_packets(state, dropped);
 				std::ranges::move(dropped, std::back_inserter(due.dropped));
 				continue;
 			}
@@ -738,7 +744,7 @@
 									  .flow_packets = state.requests.waiting.size()};
 		state.queue.waiting.clear();
 		const auto waiting = std::exchange(state.requests.waiting, {});
-		forget_packets(state, std::vector<queued_packet>{waiting.begin(), waiting.end()});
+		revert_dropped_packets(state, std::vector<queued_packet>{waiting.begin(), waiting.end()});
 		return dropped;
 	}
 
@@ -817,7 +823,7 @@
 		if (packet.payload_size > 0 && flow->request_delivered)
 		{
 			decision.response_time = now - flow->delivered_at;
-			record_answer(state, id, now);
+			decision.slot_time = record_answer(state, id, now);
 		}
 		// A request that waits cannot have been answered; the packet belongs to an earlier response.
 		if ((packet.payload_size > 0 || packet.fin) && flow->request_delivered)
@@ -971,7 +977,7 @@
 		}
 		for (const auto& [priority, returned_at] : state.returned_as_full)
 		{
-			if (now - returned_at <= full_memory)
+			if (now - returned_at <= full_report_duration)
 			{
 				take_if_smaller(priority);
 			}
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -29,9 +29,6 @@
 		/// A caller whose retransmission is overdue by this much has gone.
 		constexpr milliseconds retransmission_tolerance{100};
 
-		/// Requests in progress, as a multiple of the slots, from which an agent lets opening packets wait.
-		constexpr std::uint32_t full_slots_ratio = 2;
-
 		[[nodiscard]] steering_decision reject(steering_decision::action what, reason why)
 		{
 			return {
@@ -181,7 +178,7 @@
 			flow.last_copy = std::max(flow.last_copy, copy);
 		}
 
-		[[nodiscard]] bool is_current(const upstream_load& load, monotonic_time now) noexcept
+		[[nodiscard]] bool has_current_work_report(const upstream_load& load, monotonic_time now) noexcept
 		{
 			return load.work && now - load.work_reported_at <= work_report_lifetime;
 		}
@@ -190,7 +187,8 @@
 		/// the most urgent priority that waits, and less urgent ones wait behind it.
 		[[nodiscard]] bool reports_waiting(const upstream_load& load, std::uint8_t priority, monotonic_time now)
 		{
-			return is_current(load, now) && load.work->waiting_priority && *load.work->waiting_priority <= priority;
+			return has_current_work_report(load, now) && load.work->waiting_priority &&
+				   *load.work->waiting_priority <= priority;
 		}
 
 		/// Returns whether an agent accepts opening packets, now or after a wait, according to its last message.
@@ -205,7 +203,7 @@
 		[[nodiscard]] bool reports_room(const upstream_load& load, std::uint32_t slots, std::uint8_t priority,
 										monotonic_time now)
 		{
-			if (!is_current(load, now) || !reports_accepting(load) || reports_waiting(load, priority, now))
+			if (!has_current_work_report(load, now) || !reports_accepting(load) || reports_waiting(load, priority, now))
 			{
 				return false;
 			}
@@ -214,7 +212,7 @@
 				return load.flows_since_report < slots;
 			}
 			return load.report.admission == admission_status::accepting &&
-				   load.report.requests_in_progress + load.flows_since_report < full_slots_ratio * slots;
+				   load.report.requests_in_progress + load.flows_since_report < queued_requests_ratio * slots;
 		}
 
 		[[nodiscard]] const std::vector<const known_upstream*>& upstreams_of(const catalog& known, service_key service)
@@ -351,11 +349,12 @@
 				   load.report.admission != admission_status::cold;
 		}
 
-		/// Returns whether a message after the work report shows that requests can start at once.
-		[[nodiscard]] bool has_free_slots_since_report(const upstream_load& load, std::uint32_t slots) noexcept
+		/// Returns whether a message after the work report shows fewer requests than twice the slots, so that opening
+		/// packets do not wait.
+		[[nodiscard]] bool has_room_since_report(const upstream_load& load, std::uint32_t slots) noexcept
 		{
 			return load.reported_at > load.work_reported_at && load.report.admission == admission_status::accepting &&
-				   load.report.requests_in_progress + load.flows_since_report < full_slots_ratio * slots;
+				   load.report.requests_in_progress + load.flows_since_report < queued_requests_ratio * slots;
 		}
 
 		/// Rejects a new flow if all upstreams that accept flows report that it would wait for longer than its caller.
@@ -376,7 +375,7 @@
 				}
 				if (found == state.loads.end() || !reports_waiting(found->second, traffic.priority, now) ||
 					found->second.work->opening_wait <= caller_timeout(traffic) ||
-					has_free_slots_since_report(found->second, std::max(it->entry.slots, 1U)))
+					has_room_since_report(found->second, std::max(it->entry.slots, 1U)))
 				{
 					return std::nullopt;
 				}
--- a/src/steering/opening_queue.cpp
+++ b/src/steering/opening_queue.cpp
@@ -73,7 +73,7 @@
 		return copy_ages[std::min<std::size_t>(copy, copy_ages.size() - 1)];
 	}
 
-	milliseconds presence_of_caller(std::uint32_t copy, milliseconds timeout) noexcept
+	milliseconds opening_abandonment_age(std::uint32_t copy, milliseconds timeout) noexcept
 	{
 		const bool is_last = copy + 1 >= copy_ages.size();
 		const auto overdue = is_last ? longest_presence : age_of_copy(copy + 1) + retransmission_margin;
@@ -144,8 +144,8 @@
 
 	std::vector<waiting_opening> take_abandoned_openings(opening_queue& queue, monotonic_time now)
 	{
-		return take_if(queue,
-					   [now](const auto& it) { return now - it.opened_at >= presence_of_caller(it.copy, it.timeout); });
+		return take_if(queue, [now](const auto& it)
+					   { return now - it.opened_at >= opening_abandonment_age(it.copy, it.timeout); });
 	}
 
 	milliseconds expected_wait(const opening_queue& queue, const work_ahead& ahead, std::uint8_t priority,
@@ -161,8 +161,8 @@
 												std::chrono::duration<double, std::milli>{ahead.mean_cost});
 	}
 
-	std::vector<waiting_opening> take_hopeless_openings(opening_queue& queue, const work_ahead& ahead,
-														monotonic_time now)
+	std::vector<waiting_opening> take_unservable_openings(opening_queue& queue, const work_ahead& ahead,
+														  monotonic_time now)
 	{
 		std::array<std::size_t, std::size_t{lowest_priority} + 1> newer{};
 		std::vector<flow_id> hopeless;
--- a/src/steering/request_queue.cpp
+++ b/src/steering/request_queue.cpp
@@ -17,7 +17,7 @@
 		[[nodiscard]] monotonic_time deadline_of(const queued_packet& request) noexcept
 		{
 			return request.queued_at +
-				   (request.repeatable ? presence_of_sender(request.copies, request.timeout) : max_request_wait);
+				   (request.repeatable ? request_abandonment_age(request.copies, request.timeout) : max_request_wait);
 		}
 
 		template <typename Predicate>
@@ -29,7 +29,7 @@
 		}
 	}
 
-	milliseconds presence_of_sender(std::uint32_t copies, milliseconds timeout) noexcept
+	milliseconds request_abandonment_age(std::uint32_t copies, milliseconds timeout) noexcept
 	{
 		milliseconds interval = first_interval;
 		milliseconds age = interval;
--- a/src/steering/upstream_choice.cpp
+++ b/src/steering/upstream_choice.cpp
@@ -82,7 +82,6 @@
 			std::span<const ipv4> excluded;
 			std::uint64_t hash;
 			std::uint8_t priority;
-			placement_policy policy;
 			monotonic_time now;
 		};
 
@@ -404,8 +403,8 @@
 		}
 
 		/// Sets the costs and keeps the candidates that compete with the one of lowest cost, in the order of their
-		/// cost. Those in other zones do not share in the spread, since bandwidth between zones is scarce. \param
-		/// candidates	Not empty.
+		/// cost. Those in other zones do not share in the spread, since bandwidth between zones is scarce.
+		/// \param candidates	Not empty.
 		void rank_candidates(std::vector<candidate>& candidates, double service_mean, const placement_query& query)
 		{
 			for (auto& it : candidates)
@@ -514,7 +513,6 @@
 									.excluded = excluded,
 									.hash = hash,
 									.priority = priority,
-									.policy = policy,
 									.now = now};
 		const auto& upstreams = found->second;
 		if (policy == placement_policy::request_count)
--- a/tests/priority_world.hpp
+++ b/tests/priority_world.hpp
@@ -179,7 +179,7 @@
 			it.next_copy_at = now + it.interval;
 			const auto decision = handle_balancer_packet(state, known, about_flow(message_kind::flow_packet, it.flow),
 														 packet_of(it, data()), ipv4{1}, now);
-			receive_at_upstream(decision.before);
+			receive_at_upstream(decision.preceding);
 			if (decision.to_upstream)
 			{
 				receive_at_upstream(it);
--- a/tests/steering_priority_test.cpp
+++ b/tests/steering_priority_test.cpp
@@ -279,7 +279,7 @@
 				auto msg = about_flow(message_kind::flow_packet, id_of(i));
 				msg.packet = std::as_bytes(std::span{&index, 1});
 				const auto decision = handle_balancer_packet(state, known, msg, packet, ipv4{1}, now);
-				record_deliveries(decision.before);
+				record_deliveries(decision.preceding);
 				if (packet.rst)
 				{
 					undelivered[i].clear();
@@ -377,7 +377,8 @@
 			{
 				history.apply(step % step_count, step / step_count);
 			}
-			history.pass(kind == request_kind::idempotent ? presence_of_sender(8, caller_timeout) : max_request_wait);
+			history.pass(kind == request_kind::idempotent ? request_abandonment_age(8, caller_timeout)
+														  : max_request_wait);
 			for (const auto& queue : history.undelivered)
 			{
 				RC_ASSERT(queue.empty());
@@ -501,7 +502,7 @@
 			const auto waiting = state().requests.waiting.size();
 			const auto again = send_again();
 			EXPECT_FALSE(again.to_upstream);
-			EXPECT_TRUE(again.before.empty());
+			EXPECT_TRUE(again.preceding.empty());
 			EXPECT_EQ(state().requests.waiting.size(), waiting);
 		}
 
@@ -669,7 +670,7 @@
 			}
 			const work_ahead ahead{
 				.slots = 3, .mean_cost = 40ms, .requests = 6, .delivered = {}, .waiting_requests = {}};
-			const auto returned = take_hopeless_openings(queue, ahead, now);
+			const auto returned = take_unservable_openings(queue, ahead, now);
 			EXPECT_EQ(returned.size(), count - 29) << "in 400 ms, three slots start 30 requests, one of them delivered";
 			EXPECT_EQ(returned.front().flow.caller.ip, ipv4{0}) << "the oldest";
 		}
