--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -60,8 +60,9 @@
 		}
 
 		/// Delivered requests that are unanswered for longer than this, and for longer than `stale_costs` mean costs,
-		/// do not count.
-		constexpr milliseconds stale_request_age{500};
+		/// do not count. With 500 ms, an upstream with two slots that left a part of its requests without a response
+		/// held up the others until their callers gave up.
+		constexpr milliseconds stale_request_age{150};
 		constexpr double stale_costs = 10;
 
 		/// Delivered requests, as a multiple of the upstream's slots, from which less urgent ones wait: one is at hand
