--- a/review/standin-2/deployment.hpp
+++ b/review/standin-2/deployment.hpp
@@ -786,6 +786,23 @@
 			}
 		}
 
+		/// Starts processes that have ended by themselves again, and counts the ends of each.
+		void restart_ended(std::map<std::string, int>& ends)
+		{
+			for (auto& it : instances)
+			{
+				int status = 0;
+				if (it.process > 0 && ::waitpid(it.process, &status, WNOHANG) == it.process)
+				{
+					log.line("process %s ended by itself, status %d", it.name.c_str(),
+							 WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status));
+					++ends[it.name];
+					it.process = 0;
+					start(it);
+				}
+			}
+		}
+
 		/// Returns whether all processes still run.
 		[[nodiscard]] bool all_run() const
 		{
@@ -856,6 +873,7 @@
 		std::mt19937_64 random;
 		std::uint32_t net = 0;
 		port_plan ports;
+		bool names_empty = false; ///< Whether the settings hold an empty `node_name`.
 
 		[[nodiscard]] static std::uint32_t ip_of(const std::string& text)
 		{
@@ -870,10 +888,11 @@
 			const auto ip = ip_text(it.ip);
 			std::ofstream out{folder + "/" + it.name + ".toml"};
 			const bool agent = it.role == "agent";
-			out << "node_name = \"" << it.name << "\"\nrole = \"" << it.role << "\"\nmachine_class = \""
-				<< (agent ? "side" : "edge") << "\"\nserves = [\"" << (agent ? "side" : "edge") << "\"]\nip = \"" << ip
-				<< "\"\nzone = \"" << it.zone << "\"\nregion = \"r\"\ninternal_port_range = [" << ports.first_internal
-				<< "," << ports.first_internal + 15 << "]\nseeds = []\nbootstrap = " << (first_start ? "true" : "false")
+			out << "node_name = \"" << (names_empty ? "" : it.name) << "\"\nrole = \"" << it.role
+				<< "\"\nmachine_class = \"" << (agent ? "side" : "edge") << "\"\nserves = [\""
+				<< (agent ? "side" : "edge") << "\"]\nip = \"" << ip << "\"\nzone = \"" << it.zone
+				<< "\"\nregion = \"r\"\ninternal_port_range = [" << ports.first_internal << ","
+				<< ports.first_internal + 15 << "]\nseeds = []\nbootstrap = " << (first_start ? "true" : "false")
 				<< "\nin_failure_budget = false\ndiscovery = \"platform\"\nentry = \"announce\"\nheartbeat_ms = 1200\n"
 				<< "policies = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"flows\",\"places\",\"platform\"]\n"
 				<< "hash = \"mod\"\ndeployment_mode = \"agent\"\n";
