Use no upstream by an entry with an unknown service

Whether a service is named depends on the configuration, so the decoder can't tell, and nothing checked it later: the odd entry counted as the upstream that registered last at the address, and superseded the other. The same cause at related places: an odd entry under an upstream's own key overwrote its service and sequence number, so that its open flows were not found and its next own entry was ignored; searches waited for an agent at an invented address; agents were told a revision that they don't watch; probes could be relayed there.

Change: the catalog knows the services that the configuration describes or routes lead to (an agent's own always), and gives each upstream a status: unknown, configured or removed. Only a configured one supersedes. The status is decided at each entry and again when a configuration changes the set, so the order doesn't matter, and a true successor whose service is named later supersedes from then on (ROUTE). Entries with an unknown service are logged (service_unknown, services_unknown) and counted (nutmegturn_upstreams_of_unknown_services).

--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -31,12 +32,21 @@
 		upstreams        ///< Entries of upstreams.
 	};
 
+	/// What the configurations that a process knows say of a service.
+	enum class service_status : std::uint8_t
+	{
+		unknown,    ///< None has named it. An entry with such a service names no upstream to use.
+		configured, ///< The present one names it.
+		removed     ///< A former one named it, so its upstreams may still have open flows.
+	};
+
 	/// Upstream entry with the times of its changes.
 	struct known_upstream
 	{
 		std::string key;
 		upstream_entry entry;
 		service_key service{};
+		service_status status = service_status::unknown;
 		store_revision registered; ///< Revision at which the upstream registered under this key.
 		bool superseded = false;   ///< Another upstream registered later at the same address, so this one has ended.
 		monotonic_time changed_at; ///< Last observed change of the entry.
@@ -55,6 +65,13 @@
 		traffic_class traffic;
 	};
 
+	/// Entry with an unknown service under the key of a known upstream.
+	struct withheld_entry
+	{
+		upstream_entry entry;
+		store_revision created;
+	};
+
 	/// Priorities of the routes that lead to a service.
 	struct priority_range
 	{
@@ -87,8 +104,11 @@
 		monotonic_time versions_skipped_at{}; ///< When a version was read without those before it, or zero.
 		std::map<ipv4_endpoint, known_route> routes;
 		std::map<service_key, service_record> services;
+		std::set<service_key> named_services;   ///< Services that the configuration describes or that a route leads to.
+		std::optional<service_key> own_service; ///< Of an agent's upstream, by its settings; counts as configured.
 		std::map<service_key, priority_range> priorities; ///< By service, also those that routes led to formerly.
 		std::map<std::string, known_upstream> upstreams;
+		std::map<std::string, withheld_entry> withheld;         ///< By key; applied once their services are named.
 		std::map<std::string, known_evacuation> evacuations;    ///< By zone.
 		std::map<std::string, std::uint64_t> ended_evacuations; ///< Revision number of the last one by key.
 		std::map<std::string, monotonic_time> evacuation_ended; ///< Time when the evacuation ended, by zone.
@@ -120,7 +140,8 @@
 		configured,
 		zone_evacuated,
 		zone_returned,
-		unreadable
+		unreadable,
+		service_unknown ///< The entry names a service that the configuration does not; no upstream is used by it.
 	};
 
 	/// Returns the event name used in logs.
@@ -141,6 +162,9 @@
 	/// The first record of a key in a later era may be older than the known one. Versions, start times and sequence
 	/// numbers show that; such a record is held back for `restore_settling_time`. An earlier entry of the same run of a
 	/// listed upstream is never applied, since the upstream may be draining by now.
+	///
+	/// An entry whose service no known configuration names gets no flows and supersedes no other upstream. The result
+	/// does not depend on whether the entry or a configuration that names its service is applied first.
 	/// \param group	Group of the record's key.
 	record_effect apply_record(catalog& known, record_group group, const store_record& record, monotonic_time now);
 
@@ -153,6 +177,9 @@
 																	  const std::set<std::string>& listed,
 																	  store_revision revision, monotonic_time now);
 
+	/// Returns the number of entries in the store whose services no known configuration names.
+	[[nodiscard]] std::size_t count_upstreams_of_unknown_services(const catalog& known);
+
 	/// Removes upstreams and former services of routes after `former_upstream_retention`.
 	void expire_former(catalog& known, monotonic_time now);
 
@@ -174,7 +201,8 @@
 	/// a new ID while its former entry is still listed; the former entry accepts none.
 	[[nodiscard]] bool accepts_new_flows(const catalog& known, const known_upstream& upstream, monotonic_time now);
 
-	/// Returns the instances of the upstreams in an availability zone, including upstreams that left the store.
+	/// Returns the instances of the upstreams in an availability zone, including upstreams that left the store. Those
+	/// of unknown services are left out.
 	[[nodiscard]] std::vector<ipv4> instances_in_zone(const catalog& known, std::string_view zone);
 
 	/// Returns whether an upstream is in cold start according to the store and takes only part of its full load.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -98,6 +98,7 @@
 				state_.gate.instance = settings.instance;
 				state_.gate.zone = settings.zone;
 				state_.gate.service = steering::key_of_service(settings.service);
+				node_.catalog.own_service = state_.gate.service;
 				node_.orders_reader.use_agent_intervals();
 				node_.upstreams_reader.use_agent_intervals();
 				node_.upstreams_reader.set_watch_scope_selector(
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -407,16 +407,21 @@
 													.orders = node_.orders_reader.own_evidence(),
 													.upstreams = node_.upstreams_reader.own_evidence(),
 													.pass_on = false};
-				const auto n = std::max<std::size_t>(node_.catalog.upstreams.size(), 1);
+				const auto is_expected = [](const steering::known_upstream& upstream)
+				{ return upstream.status != steering::service_status::unknown; };
+				const auto expected = std::ranges::count_if(node_.catalog.upstreams, [&is_expected](const auto& it)
+															{ return is_expected(it.second); });
+				const auto n = std::max<std::size_t>(static_cast<std::size_t>(expected), 1);
 				const auto first = next_passing_on_ % n;
 				next_passing_on_ += passing_on;
 				std::size_t index = 0;
 				for (const auto& [key, upstream] : node_.catalog.upstreams)
 				{
-					knowledge.pass_on = (index++ + n - first) % n < passing_on;
-					// The agent does not watch the entries of former upstreams at its address.
-					knowledge.entry =
-						upstream.superseded ? steering::store_revision{} : node_.catalog.revisions.at(key);
+					knowledge.pass_on = is_expected(upstream) && (index++ + n - first) % n < passing_on;
+					// The agent does not watch other entries at its address: those of former upstreams or other
+					// writers.
+					const bool watched = is_expected(upstream) && !upstream.superseded;
+					knowledge.entry = watched ? node_.catalog.revisions.at(key) : steering::store_revision{};
 					const auto encoded = encode_knowledge(knowledge, node_.loop.now());
 					msg.packet = encoded;
 					send(upstream.entry.address.ip, msg);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -258,12 +258,13 @@
 		metrics.set(gauge::view_current, configuration_current() ? 1 : 0);
 		metrics_snapshot snapshot{std::array<const metrics_shard*, 1>{&metrics}};
 		return fmt::format("{}{}{}nutmegturn_log_lines_dropped_total {}\n"
-						   "nutmegturn_unreadable_records_total {}\nnutmegturn_datagrams_refused_total {}\n"
+						   "nutmegturn_unreadable_records_total {}\nnutmegturn_upstreams_of_unknown_services {}\n"
+						   "nutmegturn_datagrams_refused_total {}\n"
 						   "nutmegturn_handler_failures_total {}\nnutmegturn_searches_total {}\n{}{}",
 						   snapshot.to_prometheus(), format_store_calls("orders", orders_reader),
 						   format_store_calls("upstreams", upstreams_reader), log.dropped(), catalog.unreadable_records,
-						   datagrams_refused, handler_exceptions, searches, format_message_counts(messages),
-						   metrics_by_class.to_prometheus());
+						   count_upstreams_of_unknown_services(catalog), datagrams_refused, handler_exceptions,
+						   searches, format_message_counts(messages), metrics_by_class.to_prometheus());
 	}
 
 	bool node::loaded() const noexcept
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -18,6 +18,24 @@
 			return platform::decode_response(result.status, {era.data(), era.size()}, result.body);
 		}
 
+		/// Returns whether a record names nothing to use.
+		[[nodiscard]] bool is_odd(steering::record_effect effect) noexcept
+		{
+			return effect == steering::record_effect::unreadable || effect == steering::record_effect::service_unknown;
+		}
+
+		/// Returns the text of the log line on a record.
+		[[nodiscard]] std::string describe(const steering::store_record& record, steering::record_effect effect)
+		{
+			if (const auto* problem = std::get_if<steering::unreadable_record>(&record.value))
+			{
+				return problem->problem;
+			}
+			return effect == steering::record_effect::service_unknown
+					   ? "entry not used: the configuration does not name its service"
+					   : "metadata store record applied";
+		}
+
 		/// Returns whether a page does not lead further in a listing, which would then be read without end.
 		[[nodiscard]] bool repeats_page(const store_follower& follower, const platform::store_response& page)
 		{
@@ -393,11 +411,10 @@
 		if (effect == steering::record_effect::configured)
 		{
 			log_service_limits();
+			log_unknown_services();
 			log_invalid_classes(std::get<steering::configuration>(record.value));
 		}
-		const auto* problem = std::get_if<steering::unreadable_record>(&record.value);
-		log_.write(problem == nullptr ? log_level::info : log_level::warning, to_string(effect),
-				   problem == nullptr ? "metadata store record applied" : problem->problem,
+		log_.write(is_odd(effect) ? log_level::warning : log_level::info, to_string(effect), describe(record, effect),
 				   {{"key", record.key},
 					{"era", std::to_string(record.revision.era)},
 					{"revision", std::to_string(record.revision.number)},
@@ -503,6 +520,17 @@
 		}
 	}
 
+	void store_reader::log_unknown_services()
+	{
+		const auto n = count_upstreams_of_unknown_services(catalog_);
+		if (std::exchange(unknown_services_logged_, n) != n && n > 0)
+		{
+			log_.write(log_level::warning, "services_unknown",
+					   "entries not used: the configuration does not name their services",
+					   {{"entries", std::to_string(n)}, {"version", std::to_string(catalog_.version)}});
+		}
+	}
+
 	void store_reader::log_invalid_classes(const steering::configuration& config)
 	{
 		if (config.routes_with_default_class > 0)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -164,6 +164,9 @@
 		void update_encoded(const steering::store_record& record);
 		void log_service_limits();
 
+		/// Logs how many entries have a service that the configuration does not name, when that number has changed.
+		void log_unknown_services();
+
 		/// Logs that routes have the default class because a field of their class is invalid.
 		void log_invalid_classes(const steering::configuration& config);
 		void handle_failure(const std::string& reason);
@@ -196,5 +199,6 @@
 		steering::record_evidence heard_;
 		store_call_counts counts_;
 		bool settled_listing_scheduled_ = false;
+		std::size_t unknown_services_logged_ = 0; ///< Number of entries in the last such line.
 	};
 }
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -64,7 +64,7 @@
 		/// Returns whether an agent's answer is required to declare a flow lost. It is not required from an agent that
 		/// has just reported that its upstream holds no flow, nor from one that is shutting down or silent while its
 		/// upstream has left the store. Such a report says nothing about the next process of a listed upstream, so it
-		/// counts only for `agent_timeout`.
+		/// counts only for `agent_timeout`. At the address of an entry with an unknown service there may be no agent.
 		[[nodiscard]] bool is_answer_required(const balancer_state& state, const known_upstream& upstream,
 											  monotonic_time now)
 		{
@@ -74,7 +74,7 @@
 				found == state.loads.end() ? admission_status::accepting : found->second.report.admission;
 			const bool alive = is_agent_alive(state, agent, now);
 			const bool drained = alive && admission == admission_status::drained;
-			if (upstream.listed)
+			if (upstream.listed && upstream.status != service_status::unknown)
 			{
 				return !drained;
 			}
@@ -660,7 +660,8 @@
 		for (const auto& [key, it] : known.upstreams)
 		{
 			const auto found = state.loads.find(it.entry.address.ip);
-			if (it.listed && (found == state.loads.end() || is_unheard(found->second)))
+			const bool expected = it.listed && it.status != service_status::unknown;
+			if (expected && (found == state.loads.end() || is_unheard(found->second)))
 			{
 				add_if_absent(agents, it.entry.address.ip);
 			}
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -12,9 +12,9 @@
 {
 	namespace
 	{
-		constexpr std::array<std::string_view, 8> effect_names{
-			"none",       "upstream_added", "upstream_changed", "upstream_removed",
-			"configured", "zone_evacuated", "zone_returned",    "unreadable"};
+		constexpr std::array<std::string_view, 9> effect_names{
+			"none",           "upstream_added", "upstream_changed", "upstream_removed", "configured",
+			"zone_evacuated", "zone_returned",  "unreadable",       "service_unknown"};
 
 		template <typename Upstream>
 		void insert_by_key(std::vector<Upstream*>& list, known_upstream& upstream)
@@ -30,15 +30,47 @@
 			insert_by_key(known.by_address[upstream.entry.address], upstream);
 		}
 
-		/// Marks all upstreams of one address but the one that registered last.
+		/// Marks all upstreams of one address but the one that registered last. An entry of a service that is not
+		/// configured does not show that another upstream has ended: it may be another writer's.
 		void mark_superseded(const std::vector<known_upstream*>& upstreams)
 		{
-			const auto holder = std::ranges::max_element(upstreams, [](const auto* a, const auto* b)
-														 { return registered_later(*b, *a); });
+			const known_upstream* holder = nullptr;
+			for (const auto* it : upstreams)
+			{
+				const bool configured = it->status == service_status::configured;
+				if (configured && (holder == nullptr || registered_later(*it, *holder)))
+				{
+					holder = it;
+				}
+			}
 			for (auto* it : upstreams)
 			{
-				it->superseded = it != *holder;
+				it->superseded = holder != nullptr && it != holder;
+			}
+		}
+
+		void mark_superseded(catalog& known)
+		{
+			for (const auto& [address, upstreams] : known.by_address)
+			{
+				mark_superseded(upstreams);
+			}
+		}
+
+		[[nodiscard]] bool is_configured(const catalog& known, service_key service)
+		{
+			return known.own_service == service || known.named_services.contains(service);
+		}
+
+		/// Returns the status of a service by the present configuration.
+		/// \param before	Status by the former one.
+		[[nodiscard]] service_status next_status(const catalog& known, service_key service, service_status before)
+		{
+			if (is_configured(known, service))
+			{
+				return service_status::configured;
 			}
+			return before == service_status::unknown ? service_status::unknown : service_status::removed;
 		}
 
 		void rebuild_index(catalog& known)
@@ -52,14 +84,12 @@
 				known.by_service_zone[it.service][it.entry.zone].push_back(&it);
 				known.by_address[it.entry.address].push_back(&it);
 			}
-			for (const auto& [address, upstreams] : known.by_address)
-			{
-				mark_superseded(upstreams);
-			}
+			mark_superseded(known);
 		}
 
 		record_effect remove_record(catalog& known, const std::string& key, monotonic_time now)
 		{
+			known.withheld.erase(key);
 			if (const auto it = known.upstreams.find(key); it != known.upstreams.end())
 			{
 				if (!it->second.listed)
@@ -83,19 +113,58 @@
 			return record_effect::none;
 		}
 
-		record_effect apply_entry(catalog& known, const store_record& record, const upstream_entry& entry,
-								  monotonic_time now)
+		/// Removes the upstream of a key without a grace period, since its entry was replaced by one that names no
+		/// upstream to use.
+		void remove_without_grace(catalog& known, const std::string& key, monotonic_time now)
+		{
+			remove_record(known, key, now);
+			if (const auto replaced = known.upstreams.find(key); replaced != known.upstreams.end())
+			{
+				replaced->second.grace_until = now;
+			}
+		}
+
+		/// Returns whether an entry may have been published by the run of an upstream that the known entry describes. A
+		/// run keeps its service and address; another writer's entry under the same key may have others.
+		[[nodiscard]] bool may_be_same_run(const known_upstream& upstream, const upstream_entry& entry)
 		{
-			const auto [found, added] = known.upstreams.try_emplace(record.key);
+			return upstream.entry.started_at_ms == entry.started_at_ms && upstream.entry.service == entry.service &&
+				   upstream.entry.address == entry.address;
+		}
+
+		/// Returns whether an entry with an unknown service is to leave the upstream of its key as it is, since that
+		/// may have open flows of its own service.
+		[[nodiscard]] bool is_withheld(const catalog& known, const std::string& key, const upstream_entry& entry)
+		{
+			const auto found = known.upstreams.find(key);
+			return found != known.upstreams.end() && found->second.status != service_status::unknown &&
+				   !may_be_same_run(found->second, entry) && !is_configured(known, key_of_service(entry.service));
+		}
+
+		/// \param created	Revision of the creation of the entry's key.
+		record_effect apply_entry(catalog& known, const std::string& key, const store_revision& created,
+								  const upstream_entry& entry, monotonic_time now)
+		{
+			if (is_withheld(known, key, entry))
+			{
+				remove_without_grace(known, key, now);
+				known.withheld[key] = {.entry = entry, .created = created};
+				return record_effect::service_unknown;
+			}
+			known.withheld.erase(key);
+			const auto [found, added] = known.upstreams.try_emplace(key);
 			auto& upstream = found->second;
 			const auto service = key_of_service(entry.service);
-			const bool moved = !added && (upstream.service != service || upstream.entry.address != entry.address ||
+			const bool same_service = !added && upstream.service == service;
+			const bool moved = !added && (!same_service || upstream.entry.address != entry.address ||
 										  upstream.entry.zone != entry.zone);
-			const bool same_run = !added && upstream.entry.started_at_ms == entry.started_at_ms;
-			upstream = {.key = record.key,
+			const bool same_run = !added && may_be_same_run(upstream, entry);
+			const auto former_status = same_service ? upstream.status : service_status::unknown;
+			upstream = {.key = key,
 						.entry = entry,
 						.service = service,
-						.registered = same_run ? upstream.registered : record.created,
+						.status = next_status(known, service, former_status),
+						.registered = same_run ? upstream.registered : created,
 						.superseded = false,
 						.changed_at = now,
 						.listed = true,
@@ -111,6 +180,10 @@
 				rebuild_index(known);
 			}
 			mark_superseded(known.by_address[entry.address]);
+			if (known.version != 0 && upstream.status == service_status::unknown)
+			{
+				return record_effect::service_unknown;
+			}
 			return added ? record_effect::upstream_added : record_effect::upstream_changed;
 		}
 
@@ -165,6 +238,56 @@
 			}
 		}
 
+		[[nodiscard]] std::set<service_key> services_named_by(const configuration& config)
+		{
+			std::set<service_key> named;
+			for (const auto& service : config.services)
+			{
+				named.insert(key_of_service(service.name));
+			}
+			for (const auto& route : config.routes)
+			{
+				for (const auto& share : route.services)
+				{
+					named.insert(key_of_service(share.service));
+				}
+			}
+			return named;
+		}
+
+		/// Applies the withheld entries whose services the configuration names.
+		void apply_withheld(catalog& known, monotonic_time now)
+		{
+			std::map<std::string, withheld_entry> named;
+			for (const auto& [key, it] : known.withheld)
+			{
+				if (is_configured(known, key_of_service(it.entry.service)))
+				{
+					named.emplace(key, it);
+				}
+			}
+			for (const auto& [key, it] : named)
+			{
+				apply_entry(known, key, it.created, it.entry, now);
+			}
+		}
+
+		/// Sets the services that the configuration names, and what follows for the entries that were read before.
+		void set_named_services(catalog& known, std::set<service_key> named, monotonic_time now)
+		{
+			if (known.named_services == named)
+			{
+				return;
+			}
+			known.named_services = std::move(named);
+			for (auto& [key, it] : known.upstreams)
+			{
+				it.status = next_status(known, it.service, it.status);
+			}
+			mark_superseded(known);
+			apply_withheld(known, now);
+		}
+
 		record_effect apply_configuration(catalog& known, const configuration& config, monotonic_time now)
 		{
 			if (config.version <= known.version)
@@ -190,6 +313,7 @@
 			}
 			known.version = config.version;
 			known.idle_timeout = config.idle_timeout;
+			set_named_services(known, services_named_by(config), now);
 			return record_effect::configured;
 		}
 
@@ -216,6 +340,7 @@
 			std::vector<std::string> keys;
 			if (group == record_group::upstreams)
 			{
+				// The key of a withheld entry is that of a known upstream.
 				for (const auto& [key, it] : known.upstreams)
 				{
 					keys.push_back(key);
@@ -241,7 +366,7 @@
 				return false;
 			}
 			const auto& upstream = found->second;
-			const bool same_run = entry->started_at_ms != 0 && entry->started_at_ms == upstream.entry.started_at_ms;
+			const bool same_run = entry->started_at_ms != 0 && may_be_same_run(upstream, *entry);
 			const bool same_era = known.revisions.at(record.key).era == record.revision.era;
 			return same_run && entry->sequence < upstream.entry.sequence && (upstream.listed || same_era);
 		}
@@ -325,7 +450,7 @@
 		}
 		if (const auto* entry = std::get_if<upstream_entry>(&record.value))
 		{
-			return apply_entry(known, record, *entry, now);
+			return apply_entry(known, record.key, record.created, *entry, now);
 		}
 		if (const auto* config = std::get_if<configuration>(&record.value))
 		{
@@ -337,12 +462,7 @@
 			const bool added = known.evacuations.insert_or_assign(order->zone, made).second;
 			return added ? record_effect::zone_evacuated : record_effect::none;
 		}
-		// An upstream with an unreadable entry gets no new flows, not even in the grace period.
-		remove_record(known, record.key, now);
-		if (const auto unreadable = known.upstreams.find(record.key); unreadable != known.upstreams.end())
-		{
-			unreadable->second.grace_until = now;
-		}
+		remove_without_grace(known, record.key, now);
 		++known.unreadable_records;
 		return record_effect::unreadable;
 	}
@@ -377,16 +497,19 @@
 
 	void expire_former(catalog& known, monotonic_time now)
 	{
+		const auto is_over = [&known, now](const known_upstream& it)
+		{
+			const bool removed = !it.listed && !known.withheld.contains(it.key);
+			return removed && now - it.removed_at > former_upstream_retention;
+		};
 		for (const auto& [key, it] : known.upstreams)
 		{
-			if (!it.listed && now - it.removed_at > former_upstream_retention)
+			if (is_over(it))
 			{
 				known.revisions.erase(key);
 			}
 		}
-		const auto n =
-			std::erase_if(known.upstreams, [now](const auto& it)
-						  { return !it.second.listed && now - it.second.removed_at > former_upstream_retention; });
+		const auto n = std::erase_if(known.upstreams, [&is_over](const auto& it) { return is_over(it.second); });
 		if (n > 0)
 		{
 			rebuild_index(known);
@@ -403,6 +526,14 @@
 		}
 	}
 
+	std::size_t count_upstreams_of_unknown_services(const catalog& known)
+	{
+		const auto n =
+			std::ranges::count_if(known.upstreams, [](const auto& it)
+								  { return it.second.listed && it.second.status == service_status::unknown; });
+		return static_cast<std::size_t>(n) + known.withheld.size();
+	}
+
 	traffic_class traffic_class_of(const catalog& known, const ipv4_endpoint& address)
 	{
 		const auto found = known.routes.find(address);
@@ -428,7 +559,9 @@
 
 	bool accepts_new_flows(const catalog& known, const known_upstream& upstream, monotonic_time now)
 	{
-		if (upstream.superseded || (!upstream.listed && now >= upstream.grace_until))
+		// Without a configuration, nothing tells which services are unknown.
+		const bool usable = known.version == 0 || upstream.status == service_status::configured;
+		if (!usable || upstream.superseded || (!upstream.listed && now >= upstream.grace_until))
 		{
 			return false;
 		}
@@ -441,7 +574,7 @@
 		std::vector<ipv4> instances;
 		for (const auto& [key, it] : known.upstreams)
 		{
-			if (it.entry.zone == zone)
+			if (it.entry.zone == zone && it.status != service_status::unknown)
 			{
 				instances.push_back(it.entry.address.ip);
 			}
--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -346,10 +346,17 @@
 		/// Writes the entry of an instance's upstream with a new sequence number.
 		void publish(instance& it)
 		{
-			store.put("servers/" + it.name,
-					  fmt::format(R"({{"service":"{}","address":"{}:{}","zone":"{}","version":"v1",)"
-								  R"("max_concurrency":50,"state":"{}","cold_remaining_ms":0,"sequence":{},"born":1}})",
-								  it.service, to_string(it.ip), app_port, it.zone, it.entry_state, ++it.sequence));
+			++it.sequence;
+			store.put("servers/" + it.name, entry_of(it, it.service, 1));
+		}
+
+		/// Returns an entry with the address of an instance's upstream.
+		/// \param born	Start time; of entries of one address, the one that started last is in force.
+		[[nodiscard]] static std::string entry_of(const instance& it, std::string_view service, int born)
+		{
+			return fmt::format(R"({{"service":"{}","address":"{}:{}","zone":"{}","version":"v1",)"
+							   R"("max_concurrency":50,"state":"{}","cold_remaining_ms":0,"sequence":{},"born":{}}})",
+							   service, to_string(it.ip), app_port, it.zone, it.entry_state, it.sequence, born);
 		}
 
 		/// Publishes a configuration.
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -98,6 +98,43 @@
 			EXPECT_EQ(decision.replies[0].packet, bytes);
 		}
 
+		// Guards against an agent that declines all flows of its upstream because of another writer's entry with the
+		// same address and an unknown service, also before the agent has read a configuration.
+		TEST_F(steering_agent_opening, admits_flow_beside_entry_of_unknown_service)
+		{
+			known = {};
+			known.own_service = key_of_service("desk");
+			put(known, "u1", entry(1, "desk", "a"));
+			put(known, "u9", entry(1, "old-desk", "b"));
+			EXPECT_TRUE(admits_new_flows(state.gate, known, now)) << "no configuration yet";
+			put(known, "config", configured(3, {{.service = "desk", .weight = 1}}));
+			EXPECT_EQ(current_admission_status(state.gate, known, now), admission_status::accepting);
+			EXPECT_TRUE(packet(message_kind::open, opening()).to_upstream);
+			put(known, "u9", removed_record{});
+			EXPECT_EQ(current_admission_status(state.gate, known, now), admission_status::accepting);
+		}
+
+		// Guards against flows at an address whose former upstream's entry is still listed, while a configuration that
+		// names the present one's service comes late.
+		TEST_F(steering_agent_opening, declines_flow_of_former_service_whichever_configuration_is_known)
+		{
+			known = {};
+			known.own_service = key_of_service("parcel");
+			state.gate.service = key_of_service("parcel");
+			put(known, "u1", entry(1, "desk", "a"));
+			put(known, "u9", entry(1, "parcel", "a"));
+			for (const std::uint64_t version : {0U, 3U})
+			{
+				if (version != 0)
+				{
+					put(known, "config", configured(version, {{.service = "desk", .weight = 1}}));
+				}
+				const auto decision = packet(message_kind::open, opening());
+				EXPECT_FALSE(decision.to_upstream);
+				EXPECT_EQ(decision.replies.at(0).why, admission_status::other_service);
+			}
+		}
+
 		// Guards against flows that reach the wrong service after an address was reused.
 		TEST_F(steering_agent_opening, declines_flow_of_another_service)
 		{
--- a/tests/steering_balancer_test.cpp
+++ b/tests/steering_balancer_test.cpp
@@ -69,6 +69,52 @@
 			EXPECT_EQ(packet(opening()).agents, std::vector{instance(1)});
 		}
 
+		// Guards against resets of all opening packets of a service: another writer left an entry beside that of each
+		// upstream, and removed them later.
+		TEST_F(steering_balancer_opening, uses_upstreams_beside_entries_of_unknown_services)
+		{
+			const std::vector<std::string> keys{"u1", "u2", "u3"};
+			for (std::uint32_t i = 1; i <= keys.size(); ++i)
+			{
+				apply_record(known, record_group::upstreams,
+							 {.key = "u-other-" + keys[i - 1],
+							  .revision = {.era = 0, .number = 90 + i},
+							  .created = {.era = 0, .number = 90 + i},
+							  .value = entry(i, "old-desk", "a"),
+							  .encoded = {}},
+							 now);
+			}
+			ASSERT_EQ(packet(opening()).what, action::forward);
+			for (const auto& key : keys)
+			{
+				put(known, "u-other-" + key, removed_record{});
+			}
+			state.flows.clear();
+			EXPECT_EQ(packet(opening()).what, action::forward);
+		}
+
+		// Guards against a packet to another service (rule ROUTE) at an address that was given to it, whose entry was
+		// read before the configuration that names it.
+		TEST_F(steering_balancer_opening, leaves_out_address_of_later_upstream_of_service_named_later)
+		{
+			for (const std::uint32_t i : {1U, 2U, 3U})
+			{
+				apply_record(known, record_group::upstreams,
+							 {.key = "u9" + std::to_string(i),
+							  .revision = {.era = 0, .number = 90 + i},
+							  .created = {.era = 0, .number = 90 + i},
+							  .value = entry(i, "parcel", "a"),
+							  .encoded = {}},
+							 now);
+			}
+			auto config = configured(4, {{.service = "desk", .weight = 1}});
+			config.services.push_back({.name = "parcel", .cold_time = 2s, .cold_requests_per_s = 0.0});
+			put(known, "config", config);
+			const auto decision = packet(opening());
+			EXPECT_EQ(decision.what, action::reset);
+			EXPECT_EQ(decision.why, reason::no_upstream);
+		}
+
 		// Guards against callers that wait for an upstream that stopped answering.
 		TEST_F(steering_balancer_opening, sends_retransmission_to_another_upstream_without_answer)
 		{
@@ -295,6 +341,28 @@
 			EXPECT_EQ(std::ranges::count(decision.required, instance(1)), 0);
 		}
 
+		// Guards against searches that never end, since another writer's entry names an address without an agent, and
+		// against a reset of an open flow of a service that was removed before this process started.
+		TEST_F(steering_balancer_unknown_flow, requires_answer_for_unknown_service_only_if_agent_is_alive)
+		{
+			put(known, "u9", entry(9, "old-desk", "a"));
+			const auto decision = packet(data());
+			EXPECT_EQ(std::ranges::count(decision.agents, instance(9)), 1);
+			EXPECT_EQ(std::ranges::count(decision.required, instance(9)), 0);
+			EXPECT_EQ(std::ranges::count(unheard_agents(state, known), instance(9)), 0) << "not asked again and again";
+			EXPECT_EQ(receive(message_kind::load, instance(9)).what, action::drop);
+			EXPECT_EQ(std::ranges::count(packet(data()).required, instance(9)), 1);
+		}
+
+		// Guards against a reset of an open flow whose service the configuration has just removed.
+		TEST_F(steering_balancer_unknown_flow, requires_answer_for_removed_service)
+		{
+			auto config = configured(4, {{.service = "desk", .weight = 1}});
+			config.services.pop_back();
+			put(known, "config", config);
+			EXPECT_EQ(std::ranges::count(packet(data()).required, instance(4)), 1);
+		}
+
 		// Guards against a reset of a flow at a serving upstream whose entry expired during a store outage.
 		TEST_F(steering_balancer_unknown_flow, requires_answer_of_upstream_without_entry_if_agent_is_alive)
 		{
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -4,6 +4,8 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace nutmegturn::steering::testing
 {
 	namespace
@@ -167,6 +169,186 @@
 			EXPECT_FALSE(accepts("u8"));
 		}
 
+		/// Another writer's entry at the address of `u1`, with a service that no configuration names (at first).
+		class steering_catalog_unnamed_service : public steering_catalog_restart
+		{
+		protected:
+			/// Applies a configuration that names `desk`, `archive`, and the given services besides.
+			void configure(std::uint64_t version, const std::vector<std::string>& services)
+			{
+				auto config = configured(version, {{.service = "desk", .weight = 1}});
+				for (const auto& name : services)
+				{
+					config.services.push_back({.name = name, .cold_time = 2s, .cold_requests_per_s = 0.0});
+				}
+				put(known, "config", config);
+			}
+		};
+
+		// Guards against a service whose upstreams are all taken out of use by entries that name no upstream, also
+		// after these were removed.
+		TEST_F(steering_catalog_unnamed_service, leaves_the_upstream_at_its_address_in_use)
+		{
+			register_again("u9", 50, entry(1, "old-desk", "a"));
+			EXPECT_TRUE(accepts("u1"));
+			EXPECT_FALSE(accepts("u9"));
+			put(known, "u9", entry(1, "older-desk", "a"));
+			EXPECT_TRUE(accepts("u1")) << "written again";
+			put(known, "u9", removed_record{});
+			EXPECT_TRUE(accepts("u1")) << "removed";
+			finish_listing(known, record_group::upstreams, {"u1", "u2", "u3", "u4"}, {}, start);
+			EXPECT_TRUE(accepts("u1"));
+		}
+
+		// Guards against flows of the former service at an address that was given to another one (rule ROUTE), while
+		// the configuration that names the new service is read after the upstream's entry.
+		TEST_F(steering_catalog_unnamed_service, supersedes_once_a_configuration_names_it)
+		{
+			register_again("u9", 50, entry(1, "parcel", "a"));
+			ASSERT_TRUE(accepts("u1"));
+			configure(4, {"parcel"});
+			EXPECT_FALSE(accepts("u1"));
+			EXPECT_TRUE(accepts("u9"));
+		}
+
+		// Guards against a result that depends on whether the entry or the configuration is read first.
+		TEST_F(steering_catalog_unnamed_service, supersedes_if_the_configuration_came_first)
+		{
+			configure(4, {"parcel"});
+			register_again("u9", 50, entry(1, "parcel", "a"));
+			EXPECT_FALSE(accepts("u1"));
+			EXPECT_TRUE(accepts("u9"));
+			put(known, "u9", removed_record{}, start);
+			EXPECT_FALSE(accepts("u1", start + 3s)) << "the former upstream has ended, although the new one left too";
+		}
+
+		// Guards against a service that is configured only as the target of a route, which its upstreams would lose.
+		TEST_F(steering_catalog_unnamed_service, is_named_by_a_route_without_a_description)
+		{
+			register_again("u9", 50, entry(1, "parcel", "a"));
+			put(known, "config", configured(4, {{.service = "desk", .weight = 1}, {.service = "parcel", .weight = 0}}));
+			EXPECT_TRUE(accepts("u9"));
+			EXPECT_FALSE(accepts("u1"));
+		}
+
+		// Guards against an entry of a removed service that keeps an upstream out of use.
+		TEST_F(steering_catalog_unnamed_service, supersedes_no_longer_once_its_service_is_removed)
+		{
+			configure(4, {"parcel"});
+			register_again("u9", 50, entry(1, "parcel", "a"));
+			ASSERT_FALSE(accepts("u1"));
+			configure(5, {});
+			EXPECT_TRUE(accepts("u1"));
+			EXPECT_FALSE(accepts("u9"));
+			configure(6, {"parcel"});
+			EXPECT_FALSE(accepts("u1"));
+		}
+
+		// Guards against an upstream whose entry another writer overwrote: its next own entry has a lower sequence
+		// number, and its flows are searched for by its service.
+		TEST_F(steering_catalog_unnamed_service, changes_nothing_of_the_upstream_whose_key_it_has)
+		{
+			auto own = entry(1, "desk", "a");
+			own.started_at_ms = 5'000;
+			own.sequence = 4;
+			put(known, "u1", own);
+			auto odd = own;
+			odd.service = "old-desk";
+			odd.sequence = 900;
+			EXPECT_EQ(put(known, "u1", odd), record_effect::service_unknown);
+			EXPECT_FALSE(accepts("u1"));
+			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 3U) << "still searched for flows";
+			own.sequence = 5;
+			put(known, "u1", own);
+			EXPECT_TRUE(accepts("u1"));
+		}
+
+		// Guards against an upstream that starts under a former ID for a service that is named later, and stays unused.
+		TEST_F(steering_catalog_unnamed_service, is_used_under_a_former_key_once_a_configuration_names_it)
+		{
+			put(known, "u1", entry(9, "parcel", "b"));
+			ASSERT_FALSE(accepts("u1"));
+			configure(4, {"parcel"});
+			EXPECT_TRUE(accepts("u1"));
+			EXPECT_EQ(known.upstreams.at("u1").entry.address.ip, instance(9));
+			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 2U);
+		}
+
+		// Guards against an upstream that is put into use by a withheld entry that is no longer in the store.
+		TEST_F(steering_catalog_unnamed_service, is_forgotten_with_its_entry)
+		{
+			const std::vector<std::function<void()>> removals{
+				[this] { put(known, "u1", removed_record{}); },
+				[this] { put(known, "u1", unreadable_record{.problem = "test"}); },
+				[this] {
+					finish_listing(known, record_group::upstreams, {"u2", "u3", "u4"}, {}, start);
+				}};
+			for (const auto& remove : removals)
+			{
+				known = small_catalog();
+				put(known, "u1", entry(9, "parcel", "b"));
+				ASSERT_EQ(count_upstreams_of_unknown_services(known), 1U);
+				remove();
+				EXPECT_EQ(count_upstreams_of_unknown_services(known), 0U);
+				configure(4, {"parcel"});
+				EXPECT_FALSE(accepts("u1"));
+			}
+		}
+
+		// Guards against an agent that declines all flows of its upstream because of an entry that it cannot judge
+		// before it has read a configuration, and against one that loses its own entry then.
+		TEST_F(steering_catalog_unnamed_service, is_judged_by_the_settings_of_an_agent_before_a_configuration_is_known)
+		{
+			known = {};
+			known.own_service = key_of_service("desk");
+			put(known, "u1", entry(1, "desk", "a"));
+			register_again("u9", 50, entry(1, "old-desk", "a"));
+			EXPECT_TRUE(accepts("u1"));
+			put(known, "config", configured(4, {{.service = "desk", .weight = 1}}));
+			EXPECT_TRUE(accepts("u1"));
+			auto leaving = entry(1, "desk", "a");
+			leaving.readiness = upstream_readiness::draining;
+			register_again("u8", 60, leaving);
+			EXPECT_FALSE(accepts("u1")) << "a later run of its own service";
+		}
+
+		// Guards against a catalog that depends on the order in which the two groups are first read.
+		TEST_F(steering_catalog_unnamed_service, has_the_same_effect_before_and_after_the_first_configuration)
+		{
+			catalog later;
+			for (auto* it : {&known, &later})
+			{
+				*it = {};
+				if (it == &known)
+				{
+					put(*it, "config", configured(3, {{.service = "desk", .weight = 1}}));
+				}
+				put(*it, "u1", entry(1, "desk", "a"));
+				put(*it, "u9", entry(1, "old-desk", "a"));
+				put(*it, "u2", entry(2, "old-desk", "a"));
+				put(*it, "u8", entry(2, "desk", "a"));
+			}
+			put(later, "config", configured(3, {{.service = "desk", .weight = 1}}));
+			for (const auto* key : {"u1", "u9", "u2", "u8"})
+			{
+				EXPECT_EQ(accepts_new_flows(known, known.upstreams.at(key), start),
+						  accepts_new_flows(later, later.upstreams.at(key), start))
+					<< key;
+				EXPECT_EQ(known.upstreams.at(key).status, later.upstreams.at(key).status) << key;
+			}
+			EXPECT_TRUE(accepts("u1"));
+			EXPECT_TRUE(accepts("u8"));
+		}
+
+		// Guards against packets that a probe relay loses, since another writer invented its address.
+		TEST_F(steering_catalog_unnamed_service, is_no_instance_of_a_zone)
+		{
+			put(known, "u9", entry(9, "old-desk", "a"));
+			EXPECT_EQ(instances_in_zone(known, "a").size(), 3U);
+			configure(4, {"old-desk"});
+			EXPECT_EQ(instances_in_zone(known, "a").size(), 4U);
+		}
+
 		// Guards against searches that miss the holder, as an upstream without an entry still has its flows.
 		TEST_F(steering_catalog, keeps_upstream_without_entry_as_possible_holder_for_flow_lifetime)
 		{
