Start with settings that leave unexplained keys empty

The reader asked for a non-empty text everywhere, also of node_name, which serves for log lines, and of zone and ip, which have the same standing. At a reload the same refusal kept all other changes of the file from being applied.

Change: unexplained keys may be empty, missing or of another type. A process without a name is named by its address; without a zone all zones are alike to it, and an agent follows the zone of its upstream's entry, also for the cold start after an evacuation; without ip its address is that of the readiness check. A missing grace_s reads as no time, like a truth value. Explained keys are required as before, and a text that is no address is refused.

--- a/include/nutmegturn/steering/node_settings.hpp
+++ b/include/nutmegturn/steering/node_settings.hpp
@@ -12,8 +12,8 @@
 	/// Settings of a balancer or agent process.
 	struct node_settings
 	{
-		std::string name;
-		std::string zone;
+		std::string name;             ///< For log lines; the instance's address if the platform gives none.
+		std::string zone;             ///< Empty if the platform gives none; all zones are alike then.
 		ipv4 instance{};              ///< Address of the instance on which the process runs.
 		ipv4_endpoint caller_packets; ///< Where packets from callers arrive. Callers use the same port.
 		ipv4_endpoint readiness;      ///< Listen address of the readiness check and the metrics.
--- a/include/nutmegturn/steering/upstream_gate.hpp
+++ b/include/nutmegturn/steering/upstream_gate.hpp
@@ -10,7 +10,7 @@
 	struct upstream_gate
 	{
 		ipv4 instance{};
-		std::string zone;
+		std::string zone; ///< By the settings; may be empty. The upstream's entry has one too.
 		service_key service{};
 		bool stopping = false;
 		monotonic_time started;                       ///< Start of this process.
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -63,8 +63,12 @@
 		{
 			return true;
 		}
-		const auto zone = known.evacuation_ended.find(gate.zone);
-		const bool zone_returned = zone != known.evacuation_ended.end() && now - zone->second < service->cold_time;
+		const auto has_returned = [&](const std::string& zone)
+		{
+			const auto ended = known.evacuation_ended.find(zone);
+			return ended != known.evacuation_ended.end() && now - ended->second < service->cold_time;
+		};
+		const bool zone_returned = has_returned(gate.zone) || has_returned(own->entry.zone);
 		const bool recovering = gate.recovered && now - gate.recovered_at < service->cold_time;
 		return is_cold(*own, now) || zone_returned || recovering;
 	}
--- a/tests/odd_inputs_process_test.cpp
+++ b/tests/odd_inputs_process_test.cpp
@@ -112,5 +112,24 @@
 			remove_entries_beside();
 			EXPECT_EQ(count_run_after_bound(), 0) << "the former upstreams have ended";
 		}
+
+		// Guards against processes that end at each start while keys that the platform does not explain are empty, and
+		// against an evacuation that processes without a zone of their own miss.
+		TEST_F(odd_inputs, start_and_evacuate_with_empty_settings)
+		{
+			unexplained_keys_empty = true;
+			start_deployment();
+			expect_all_served("with empty settings");
+			store.put("op/evacuate/a", "{}");
+			const auto since = runtime::read_clock() + evacuation_bound;
+			keep_opening({route}, evacuation_bound + 1s);
+			run_for(500ms);
+			const auto opened = flows_after(route, since);
+			EXPECT_FALSE(opened.empty());
+			EXPECT_EQ(std::ranges::count_if(opened, [](auto& it) { return it.run_in != "b"; }), 0);
+			store.remove("op/evacuate/a");
+			run_for(evacuation_bound);
+			expect_all_served("after the evacuation");
+		}
 	}
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -358,6 +358,68 @@
 			EXPECT_TRUE(std::get<0>(settings).first_start);
 		}
 
+		// Guards against processes that end at each start, and against changes of other settings that are never
+		// applied, because a key that the platform does not explain is empty, missing or of another type.
+		TEST_F(settings_file, accepts_unexplained_keys_in_any_form)
+		{
+			const std::vector<std::pair<std::string, std::string>> keys{
+				{"node_name", "\"edge-1\""}, {"zone", "\"a\""}, {"ip", "\"10.1.0.10\""}};
+			for (const auto& [key, value] : keys)
+			{
+				const auto line = key + " = " + value + "\n";
+				for (const std::string form : {"\"\"", "0", "false", "[]", "{}", "missing"})
+				{
+					auto text = good;
+					const auto replacement = form == "missing" ? std::string{} : key + " = " + form + "\n";
+					text.replace(text.find(line), line.size(), replacement);
+					const auto settings = read(text);
+					ASSERT_TRUE(has_value(settings)) << key << ", " << form << ": " << to_string(std::get<1>(settings));
+					const auto& it = std::get<0>(settings);
+					EXPECT_EQ(it.name, key == "node_name" ? "10.1.0.10" : "edge-1") << form;
+					EXPECT_EQ(it.zone, key == "zone" ? "" : "a") << form;
+					EXPECT_EQ(to_string(it.instance), "10.1.0.10") << key << ", " << form;
+				}
+			}
+		}
+
+		// Guards against the same for an agent, and against an agent without the settings of its upstream, which the
+		// platform explains.
+		TEST_F(settings_file, requires_the_explained_keys_of_an_agent_only)
+		{
+			const auto upstream = "service = \"desk\"\napp = \"10.1.0.10:8080\"\n" + good;
+			auto text = upstream;
+			text.insert(text.find("datagram_addr"), "outbound = \"10.1.0.10:8173\"\n");
+			text.replace(text.find("\"edge-1\""), 8, "\"\"");
+			const auto settings = read(text, true);
+			ASSERT_TRUE(has_value(settings)) << to_string(std::get<1>(settings));
+			EXPECT_EQ(std::get<0>(settings).service, "desk");
+			text.replace(text.find("\"desk\""), 6, "\"\"");
+			EXPECT_EQ(std::get<1>(read(text, true)).path, "service");
+			EXPECT_EQ(std::get<1>(read(upstream, true)).path, "listen_addrs.outbound");
+		}
+
+		// Guards against an address of the instance that is misspelt and taken for an empty one.
+		TEST_F(settings_file, refuses_an_address_that_is_none)
+		{
+			auto text = good;
+			text.replace(text.find("\"10.1.0.10\""), 11, "\"10.1.0\"");
+			const auto refused = read(text);
+			ASSERT_FALSE(has_value(refused));
+			EXPECT_EQ(std::get<1>(refused).path, "ip");
+		}
+
+		// Guards against processes that do not start on an installation where the rule of the grace time is not in
+		// force.
+		TEST_F(settings_file, takes_a_missing_bound_for_no_time)
+		{
+			auto text = good;
+			const std::string bounds = "[bounds]\ngrace_s = 6\n";
+			text.erase(text.find(bounds), bounds.size());
+			const auto settings = read(text);
+			ASSERT_TRUE(has_value(settings)) << to_string(std::get<1>(settings));
+			EXPECT_EQ(std::get<0>(settings).stop_grace, 0ms);
+		}
+
 		// Guards against processes that end at each start while a bound of the settings is not a whole number. The
 		// platform gives bounds as whole numbers, fractions, or truth values.
 		TEST_F(settings_file, accepts_any_published_form_of_a_bound)
--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -476,6 +476,7 @@
 		metadata_store store{loop};
 		std::list<instance> instances;
 		std::map<std::uint16_t, opened_flow> flows; ///< By the caller's port.
+		bool unexplained_keys_empty = false;        ///< In settings that are written from now on.
 
 	private:
 		/// Returns the address of a process or caller. The second byte is one that `own_address` does not use, since
@@ -496,8 +497,10 @@
 		{
 			const auto ip = to_string(it.ip);
 			std::ofstream out{folder / (it.name + ".toml")};
+			const auto unexplained = [this](const std::string& value)
+			{ return unexplained_keys_empty ? std::string{} : value; };
 			out << fmt::format("node_name = \"{}\"\nzone = \"{}\"\nip = \"{}\"\ninternal_port_range = [{}, {}]\n",
-							   it.name, it.zone, ip, peer_port, peer_port + 15);
+							   unexplained(it.name), unexplained(it.zone), unexplained(ip), peer_port, peer_port + 15);
 			out << fmt::format("bootstrap = true\nservice = \"{}\"\napp = \"{}:{}\"\n", it.service, ip, app_port);
 			out << fmt::format(
 				"[listen_addrs]\ndatagram_addr = \"{0}:{1}\"\nready = \"{0}:{2}\"\noutbound = \"{0}:{3}\"\n", ip,
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -213,6 +213,18 @@
 			EXPECT_GE(count_admitted(100), 10U);
 		}
 
+		// Guards against full load on upstreams that became cold in an evacuation, if the settings name no zone (rule
+		// FAILBACK).
+		TEST_F(steering_agent_cold_start, follows_the_zone_of_the_entry_without_one_in_the_settings)
+		{
+			state.gate.zone.clear();
+			put(known, "out/a", zone_evacuation{.zone = "a"}, now);
+			EXPECT_EQ(current_admission_status(state.gate, known, now), admission_status::evacuated);
+			put(known, "out/a", removed_record{}, now);
+			EXPECT_TRUE(gate_is_cold(state.gate, known, now + 1s));
+			EXPECT_FALSE(gate_is_cold(state.gate, known, now + 3s));
+		}
+
 		// Guards against declining flows for seconds after every start if no rate is published.
 		TEST_F(steering_agent_cold_start, does_not_limit_without_published_rate)
 		{
