Ignore an evacuation that names no zone

Cause: a key op/evacuate/ without a zone counted as an evacuation of the zone with the empty name. Since the settings may leave the zone empty, agents without one would decline all flows by it.

--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -114,6 +114,15 @@
 			EXPECT_EQ(relayed.records.at(0).revision.number, 7U);
 		}
 
+		// Guards against agents that decline all flows since their settings name no zone, which is taken for the zone
+		// of an evacuation without a name.
+		TEST(store_format, rejects_evacuation_without_a_zone)
+		{
+			const auto text = R"({"items":[{"key":"op/evacuate/","revision":7,"value":"e30="}],"as_of":9})";
+			const auto response = decode_response(200, "", text);
+			EXPECT_TRUE(std::holds_alternative<steering::unreadable_record>(response.records.at(0).value));
+		}
+
 		[[nodiscard]] steering::record_value decode_one(const std::string& key, std::string_view value)
 		{
 			const auto response = decode_response(200, "",
