--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -1,7 +1,9 @@
 #include "nutmegturn/steering/agent_flows.hpp"
 
+#include "node/agent_log.hpp"
 #include "node/node.hpp"
 #include "node/process_signals.hpp"
+#include "node/suspended_time.hpp"
 #include "platform/packet_format.hpp"
 #include "runtime/udp.hpp"
 
@@ -36,9 +38,6 @@
 		/// Interval of checks of the waiting opening packets while there are any.
 		constexpr auto queue_check_interval = 20ms;
 
-		/// Largest error of a reading of the suspended time, which takes three readings of clocks.
-		constexpr auto max_reading_time = 10ms;
-
 		/// Interval of sweeps for idle flows.
 		constexpr auto sweep_interval = 1s;
 
@@ -46,47 +45,6 @@
 		/// later are lost.
 		constexpr auto stop_notice_time = 50ms;
 
-		[[nodiscard]] reason rejection_reason(steering::admission_status why) noexcept
-		{
-			switch (why)
-			{
-				case steering::admission_status::other_service:
-					return reason::wrong_upstream;
-				case steering::admission_status::draining:
-					return reason::upstream_draining;
-				case steering::admission_status::evacuated:
-					return reason::zone_out;
-				case steering::admission_status::cold:
-					return reason::upstream_cold;
-				case steering::admission_status::full:
-					return reason::upstream_shed;
-				case steering::admission_status::upstream_unreachable:
-					return reason::upstream_unreachable;
-				case steering::admission_status::stopping:
-				case steering::admission_status::drained:
-					return reason::stopping;
-				case steering::admission_status::accepting:
-					break;
-			}
-			return reason::none;
-		}
-
-		/// Returns the time since the machine's start in which it was suspended, or nothing if the process was
-		/// interrupted while it read the clocks.
-		[[nodiscard]] std::optional<std::chrono::nanoseconds> read_suspended_time() noexcept
-		{
-			const auto read = [](clockid_t clock) -> std::chrono::nanoseconds
-			{
-				timespec time{};
-				::clock_gettime(clock, &time);
-				return std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec};
-			};
-			const auto before = read(CLOCK_MONOTONIC);
-			const auto with_suspension = read(CLOCK_BOOTTIME);
-			const auto after = read(CLOCK_MONOTONIC);
-			return after - before < max_reading_time ? std::optional{with_suspension - before} : std::nullopt;
-		}
-
 		class agent_node
 		{
 		public:
@@ -254,7 +212,7 @@
 				{
 					record_returned_as_full(state_, opening, now);
 				}
-				log_decline(opening.flow, to_string(why), rejection_reason(why), now - opening.queued_at);
+				decisions_.log_decline(opening.flow, why, now - opening.queued_at);
 				send_declined(opening);
 			}
 
@@ -262,8 +220,7 @@
 			/// place it again.
 			void drop_abandoned(const steering::waiting_opening& opening)
 			{
-				log_decline(opening.flow, to_string(reason::caller_gone), reason::caller_gone,
-							node_.loop.now() - opening.queued_at);
+				decisions_.log_abandoned(opening.flow, node_.loop.now() - opening.queued_at);
 				send_declined(opening);
 			}
 
@@ -316,31 +273,11 @@
 				deliver(due.delivered);
 				for (const auto& it : due.dropped)
 				{
-					drop_request_packet(it);
+					decisions_.log_dropped(it);
 				}
 				schedule_request_check();
 			}
 
-			/// Counts a packet of an open flow that is not forwarded, and logs the request that it starts.
-			void drop_request_packet(const steering::queued_packet& packet)
-			{
-				node_.metrics.add(counter::packets_dropped, reason::caller_gone);
-				if (!packet.starts_request)
-				{
-					return;
-				}
-				const auto now = node_.loop.now();
-				const auto traffic = traffic_class_of(node_.catalog, packet.flow.route);
-				node_.metrics_by_class.record_declined(traffic, reason::caller_gone);
-				node_.log.write(
-					log_level::info, "request_dropped", "waiting request dropped; its caller sent no further copy",
-					{{"flow", fmt::format("{}>{}", to_string(packet.flow.caller), to_string(packet.flow.route))},
-					 {"class", class_text(packet.flow.route)},
-					 {"wait_ms", age_ms(packet.queued_at, now)},
-					 {"at_work", std::to_string(state_.requests_in_progress)},
-					 {"version", std::to_string(node_.catalog.version)}});
-			}
-
 			void schedule_request_check()
 			{
 				const auto deadline = next_request_deadline(state_.requests);
@@ -505,7 +442,7 @@
 				{
 					if (reply.kind == message_kind::declined)
 					{
-						log_decline(reply.flow, to_string(reply.why), rejection_reason(reply.why), {});
+						decisions_.log_decline(reply.flow, reply.why, {});
 					}
 					send(reply.balancer, reply.kind, reply.flow, load, reply.packet);
 				}
@@ -522,8 +459,8 @@
 								  monotonic_clock::duration waited)
 			{
 				node_.metrics.add(counter::packets_received);
-				log_admission(packet, waited);
-				log_request(packet, bytes, waited);
+				decisions_.log_admission(packet, waited);
+				decisions_.log_request(packet, bytes, waited);
 				to_upstream_->add(to_endpoint(node_.settings.upstream), bytes);
 			}
 
@@ -553,95 +490,13 @@
 					const auto load = make_load_report(state_, node_.catalog, node_.loop.now());
 					if (reply.kind == message_kind::declined)
 					{
-						log_decline(reply.flow, to_string(reply.why), rejection_reason(reply.why), waited);
+						decisions_.log_decline(reply.flow, reply.why, waited);
 					}
 					send(reply.balancer, reply.kind, reply.flow, load,
 						 reply.with_packet ? bytes : std::span<const std::byte>{});
 				}
 			}
 
-			/// Logs that an opening packet goes to the upstream, with the entry that allows it.
-			void log_admission(const segment& packet, monotonic_clock::duration waited)
-			{
-				if (!packet.syn)
-				{
-					return;
-				}
-				const auto now = node_.loop.now();
-				const auto* own = own_upstream(state_.gate, node_.catalog);
-				const auto flow = flow_of_caller(packet);
-				record_admission_by_class(flow.route, waited);
-				node_.log.write(log_level::info, "flow_admitted", "flow admitted; opening packet sent to the upstream",
-								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
-								 {"class", class_text(flow.route)},
-								 {"wait_ms", duration_ms(waited)},
-								 {"entry", own == nullptr ? "unknown" : own->key},
-								 {"entry_age_ms", own == nullptr ? "unknown" : age_ms(own->changed_at, now)},
-								 {"store_answer_age_ms", age_ms(node_.upstreams_reader.state().last_answer, now)},
-								 {"upstreams_age_ms", node_.records_age_ms(node_.upstreams_reader)},
-								 {"orders_age_ms", node_.records_age_ms(node_.orders_reader)},
-								 {"version", std::to_string(node_.catalog.version)}});
-			}
-
-			[[nodiscard]] static std::string duration_ms(monotonic_clock::duration duration)
-			{
-				return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-			}
-
-			[[nodiscard]] static std::string age_ms(monotonic_time since, monotonic_time now)
-			{
-				return duration_ms(now - since);
-			}
-
-			[[nodiscard]] std::string class_text(const steering::ipv4_endpoint& route) const
-			{
-				return to_string(traffic_class_of(node_.catalog, route));
-			}
-
-			void record_admission_by_class(const steering::ipv4_endpoint& route, monotonic_clock::duration waited)
-			{
-				const auto traffic = traffic_class_of(node_.catalog, route);
-				node_.metrics_by_class.record_admitted(traffic);
-				node_.metrics_by_class.record_wait(traffic, waited);
-			}
-
-			/// Logs the id of a request with its flow. The id is read for logging only.
-			void log_request(const segment& packet, std::span<const std::byte> bytes, monotonic_clock::duration waited)
-			{
-				const auto id = packet.payload_size > 0 ? platform::find_request_id(bytes) : std::string_view{};
-				if (id.empty())
-				{
-					return;
-				}
-				const auto flow = flow_of_caller(packet);
-				node_.metrics.add(counter::requests_received);
-				record_admission_by_class(flow.route, waited);
-				node_.log.write(log_level::info, "request_delivered", "request delivered to the upstream",
-								{{"request", std::string{id}},
-								 {"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
-								 {"class", class_text(flow.route)},
-								 {"wait_ms", duration_ms(waited)},
-								 {"at_work", std::to_string(state_.requests_in_progress)},
-								 {"version", std::to_string(node_.catalog.version)}});
-			}
-
-			void log_decline(const steering::flow_id& flow, std::string_view why, reason counted,
-							 monotonic_clock::duration waited)
-			{
-				const auto traffic = traffic_class_of(node_.catalog, flow.route);
-				node_.metrics.add(counter::flows_rejected, counted);
-				node_.metrics_by_class.record_declined(traffic, counted);
-				node_.metrics_by_class.record_wait(traffic, waited);
-				node_.log.write(log_level::info, "flow_declined",
-								"flow declined; opening packet returned to the balancer",
-								{{"flow", fmt::format("{}>{}", to_string(flow.caller), to_string(flow.route))},
-								 {"reason", std::string{why}},
-								 {"class", class_text(flow.route)},
-								 {"wait_ms", duration_ms(waited)},
-								 {"at_work", std::to_string(state_.requests_in_progress)},
-								 {"version", std::to_string(node_.catalog.version)}});
-			}
-
 			void send_to_caller(ipv4 caller, std::span<const std::byte> bytes)
 			{
 				to_callers_->add(to_endpoint({.ip = caller, .port = node_.settings.caller_packets.port}), bytes);
@@ -760,6 +615,7 @@
 
 			node node_;
 			steering::agent_state state_;
+			agent_log decisions_{node_, state_};
 			status_server status_;
 			process_signals signals_;
 			runtime::file_descriptor peers_;
