Count ages of evidence from before a freeze

Cause: messages that arrived during the freeze waited in the agent's socket; it took their ages as of its waking and passed the evidence on, too young by up to the length of the freeze, so the balancers put off their own questions.

Change: after a gap of more than 250 ms between two iterations an agent counts ages from before the gap, until its socket is empty.

Conclusion: evidence is never younger than when it was sent, but for 250 ms.

--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -171,8 +171,11 @@
 																				 monotonic_time now) noexcept;
 
 	/// Decodes knowledge. What the message lacks decodes to zero; processes of earlier releases send the entry's
-	/// revision only. The times are late by the time that the message took.
-	[[nodiscard]] store_knowledge decode_knowledge(std::span<const std::byte> bytes, monotonic_time now) noexcept;
+	/// revision only.
+	/// \param arrived	Time before which the message did not arrive. The decoded times are late by the time that it
+	/// took
+	///					on its way.
+	[[nodiscard]] store_knowledge decode_knowledge(std::span<const std::byte> bytes, monotonic_time arrived) noexcept;
 
 	/// Size of an encoded work report, in bytes.
 	inline constexpr std::size_t encoded_work_report_size = 12;
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -1,4 +1,5 @@
 #include "nutmegturn/steering/agent_flows.hpp"
+#include "nutmegturn/steering/message_arrival.hpp"
 
 #include "node/agent_log.hpp"
 #include "node/node.hpp"
@@ -118,6 +119,7 @@
 			/// Drops what waited if the process was paused. Call it before anything that may forward waiting packets.
 			void check_for_pause()
 			{
+				record_loop_iteration(arrival_, node_.loop.now());
 				const auto suspended = read_suspended_time().value_or(loop_times_.suspended);
 				if (!record_iteration(loop_times_, node_.loop.now(), suspended))
 				{
@@ -166,6 +168,10 @@
 					}
 					handle_packet(*msg, balancer);
 				}
+				if (n < batch_size)
+				{
+					record_socket_emptied(arrival_);
+				}
 			}
 
 			/// \param waited	Time for which the packet waited at this agent.
@@ -341,7 +347,8 @@
 			void handle_subscribe(const message& msg, ipv4 balancer)
 			{
 				const bool is_new = !state_.balancers.contains(balancer);
-				const auto knowledge = steering::decode_knowledge(msg.packet, node_.loop.now());
+				const auto arrived = earliest_arrival(arrival_, node_.loop.now());
+				const auto knowledge = steering::decode_knowledge(msg.packet, arrived);
 				newest_entry_revision_ = std::max(newest_entry_revision_, knowledge.entry);
 				node_.upstreams_reader.handle_known_revision(knowledge.entry);
 				node_.handle_knowledge(knowledge);
@@ -626,6 +633,7 @@
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_upstream_;
 			steering::loop_times loop_times_;
+			steering::message_arrival arrival_; ///< Of messages from balancers.
 			bool queue_check_scheduled_ = false;
 			std::uint64_t request_check_timer_ = 0;          ///< 0 if none is scheduled.
 			monotonic_time request_check_at_;                ///< Time of that timer.
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -91,11 +91,11 @@
 			to.put(sent ? static_cast<std::uint16_t>(age) : no_evidence);
 		}
 
-		[[nodiscard]] record_evidence take_evidence(reader& in, monotonic_time now) noexcept
+		[[nodiscard]] record_evidence take_evidence(reader& in, monotonic_time arrived) noexcept
 		{
 			const auto newest = unpack_revision(in.take<std::uint64_t>());
 			const auto age = in.take<std::uint16_t>();
-			return age == no_evidence ? record_evidence{} : record_evidence{newest, now - milliseconds{age}};
+			return age == no_evidence ? record_evidence{} : record_evidence{newest, arrived - milliseconds{age}};
 		}
 
 		/// Field `waiting_priority` of a work report without waiting packets.
@@ -220,7 +220,7 @@
 		return bytes;
 	}
 
-	store_knowledge decode_knowledge(std::span<const std::byte> bytes, monotonic_time now) noexcept
+	store_knowledge decode_knowledge(std::span<const std::byte> bytes, monotonic_time arrived) noexcept
 	{
 		store_knowledge knowledge;
 		reader in{.in = bytes};
@@ -230,8 +230,8 @@
 		}
 		if (bytes.size() >= encoded_knowledge_size)
 		{
-			knowledge.orders = take_evidence(in, now);
-			knowledge.upstreams = take_evidence(in, now);
+			knowledge.orders = take_evidence(in, arrived);
+			knowledge.upstreams = take_evidence(in, arrived);
 			knowledge.pass_on = in.take<std::uint8_t>() != 0;
 		}
 		return knowledge;
--- a/tests/known_revision_test.cpp
+++ b/tests/known_revision_test.cpp
@@ -20,6 +20,9 @@
 
 		constexpr std::uint16_t peer_port = 17'444;
 
+		/// Time within which an agent reports, with some margin.
+		constexpr auto report_interval = 1'300ms;
+
 		/// Process of the system on loopback, with a store whose long watches of upstream entries are never answered.
 		/// The test takes the part of the other role.
 		class known_revision_on_loopback : public ::testing::Test
@@ -31,8 +34,9 @@
 				.loop = loop, .respond = [this](auto target) { return answer(target); }, .calls = {}, .address = own};
 			steering::node_settings settings;
 			runtime::file_descriptor peer;
-			store_revision reported; ///< Newest revision of the entry that the process has reported.
-			int short_watches = 0;   ///< Watches of upstream entries that were answered.
+			store_revision reported;              ///< Newest revision of the entry that the process has reported.
+			monotonic_time reported_orders_as_of; ///< As of when the process has said that it knows the orders.
+			int short_watches = 0;                ///< Watches of upstream entries that were answered.
 			pid_t process = 0;
 
 			static constexpr store_revision changed{.era = 0, .number = 12};
@@ -116,7 +120,9 @@
 					ASSERT_TRUE(msg);
 					if (msg->kind == message_kind::load || msg->kind == message_kind::subscribe)
 					{
-						reported = std::max(reported, steering::decode_knowledge(msg->packet, loop.now()).entry);
+						const auto knowledge = steering::decode_knowledge(msg->packet, loop.now());
+						reported = std::max(reported, knowledge.entry);
+						reported_orders_as_of = std::max(reported_orders_as_of, knowledge.orders.as_of);
 					}
 				}
 			}
@@ -124,16 +130,30 @@
 			/// Sends a message of the other role twice a second.
 			void send_repeatedly(message_kind kind)
 			{
-				const auto revision = steering::encode_knowledge(
-					{.entry = changed, .orders = {}, .upstreams = {}, .pass_on = false}, loop.now());
+				send_knowledge(kind, {.entry = changed, .orders = {}, .upstreams = {}, .pass_on = false});
+				loop.call_at(loop.now() + 500ms, [this, kind] { send_repeatedly(kind); });
+			}
+
+			void send_knowledge(message_kind kind, const steering::store_knowledge& knowledge)
+			{
+				const auto encoded = steering::encode_knowledge(knowledge, runtime::read_clock());
 				auto msg = steering::testing::about_flow(kind);
-				msg.packet = revision;
+				msg.packet = encoded;
 				std::array<std::byte, steering::max_message_header_size + steering::encoded_knowledge_size> buf{};
 				runtime::send_batch to_process{peer.get(), 1};
 				to_process.add(steering::to_endpoint({.ip = settings.instance, .port = peer_port}),
 							   std::span{buf}.first(encode_message(msg, buf)));
 				to_process.flush();
-				loop.call_at(loop.now() + 500ms, [this, kind] { send_repeatedly(kind); });
+			}
+
+			/// Sends a balancer's message that the store has just confirmed the orders.
+			void confirm_orders()
+			{
+				send_knowledge(message_kind::subscribe,
+							   {.entry = {},
+								.orders = {.newest = {.era = 0, .number = 9}, .as_of = runtime::read_clock()},
+								.upstreams = {},
+								.pass_on = true});
 			}
 
 			/// Expects that the process reads the entries once more within a bound after it has heard of the revision,
@@ -166,6 +186,28 @@
 			EXPECT_EQ(reported, changed) << "other balancers learn of the revision too";
 		}
 
+		// Guards against balancers in touch that refuse an added route for longer than the bound: an agent that was
+		// frozen told them of what had waited in its socket as if the store had confirmed it just now.
+		TEST_F(known_revision_on_loopback, makes_no_evidence_younger_that_waited_at_a_frozen_agent)
+		{
+			start(run_agent);
+			run_for(500ms);
+			confirm_orders();
+			run_for(report_interval);
+			ASSERT_NE(reported_orders_as_of, monotonic_time{});
+			::kill(process, SIGSTOP);
+			run_for(200ms);
+			confirm_orders();
+			const auto sent = runtime::read_clock();
+			run_for(1'500ms);
+			::kill(process, SIGCONT);
+			run_for(1'500ms);
+			EXPECT_LE(reported_orders_as_of, sent + 10ms);
+			confirm_orders();
+			run_for(report_interval);
+			EXPECT_GT(reported_orders_as_of, sent + 2s) << "what arrives later is taken as it is";
+		}
+
 		// Guards against a balancer that places flows at a draining upstream for up to 11 s, since the answer that told
 		// of the change was lost: the upstream's agent knows of it.
 		TEST_F(known_revision_on_loopback, makes_a_balancer_read_the_entries_again)
--- a/tests/record_evidence_test.cpp
+++ b/tests/record_evidence_test.cpp
@@ -1,3 +1,4 @@
+#include "nutmegturn/steering/message_arrival.hpp"
 #include "nutmegturn/steering/record_evidence.hpp"
 
 #include "node_on_loopback.hpp"
@@ -44,6 +45,26 @@
 			EXPECT_LT(max_records_age, config_bound);
 		}
 
+		// Guards against evidence that becomes younger by the time for which its message waited in the socket of a
+		// frozen process.
+		TEST(steering_message_arrival, counts_ages_from_before_a_gap_until_the_socket_is_empty)
+		{
+			message_arrival arrival;
+			record_loop_iteration(arrival, start);
+			EXPECT_EQ(earliest_arrival(arrival, start), start);
+			record_loop_iteration(arrival, start + 100ms);
+			EXPECT_EQ(earliest_arrival(arrival, start + 100ms), start + 100ms) << "no gap";
+			record_loop_iteration(arrival, start + 3'500ms);
+			record_loop_iteration(arrival, start + 3'500ms);
+			EXPECT_EQ(earliest_arrival(arrival, start + 3'500ms), start + 100ms);
+			record_loop_iteration(arrival, start + 3'600ms);
+			EXPECT_EQ(earliest_arrival(arrival, start + 3'600ms), start + 100ms) << "part of the messages still waits";
+			record_loop_iteration(arrival, start + 5s);
+			EXPECT_EQ(earliest_arrival(arrival, start + 5s), start + 100ms) << "a second gap";
+			record_socket_emptied(arrival);
+			EXPECT_EQ(earliest_arrival(arrival, start + 5s), start + 5s);
+		}
+
 		// Guards against processes that ask later than a change must take effect, and against all of them asking at the
 		// same moment.
 		TEST(steering_record_evidence, draws_ages_that_leave_time_for_the_answer)
