Follow the entries of a removed service in place

Cause: read in the diff: a later run of an upstream whose service the configuration had removed was withheld, as if another writer had written its entry.

Change: only an entry with another service or address is withheld under a known key.

Measured: steering_catalog_unnamed_service.follows_the_entries_of_a_removed_service, new; 135 tests of catalog, balancer, agent and store pass.

--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -124,12 +124,17 @@
 			}
 		}
 
-		/// Returns whether an entry may have been published by the run of an upstream that the known entry describes. A
-		/// run keeps its service and address; another writer's entry under the same key may have others.
+		/// Returns whether an entry describes the known upstream of its key, or a later run of it. Another writer's
+		/// entry under that key may have another service or address.
+		[[nodiscard]] bool describes(const upstream_entry& entry, const known_upstream& upstream)
+		{
+			return entry.service == upstream.entry.service && entry.address == upstream.entry.address;
+		}
+
+		/// Returns whether the run of an upstream that the known entry describes may have published an entry.
 		[[nodiscard]] bool may_be_same_run(const known_upstream& upstream, const upstream_entry& entry)
 		{
-			return upstream.entry.started_at_ms == entry.started_at_ms && upstream.entry.service == entry.service &&
-				   upstream.entry.address == entry.address;
+			return describes(entry, upstream) && entry.started_at_ms == upstream.entry.started_at_ms;
 		}
 
 		/// Returns whether an entry with an unknown service is to leave the upstream of its key as it is, since that
@@ -138,7 +143,7 @@
 		{
 			const auto found = known.upstreams.find(key);
 			return found != known.upstreams.end() && found->second.status != service_status::unknown &&
-				   !may_be_same_run(found->second, entry) && !is_configured(known, key_of_service(entry.service));
+				   !describes(entry, found->second) && !is_configured(known, key_of_service(entry.service));
 		}
 
 		/// \param created	Revision of the creation of the entry's key.
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -263,6 +263,27 @@
 			EXPECT_TRUE(accepts("u1"));
 		}
 
+		// Guards against new flows at a draining upstream whose service the configuration removes and names again: its
+		// entry has changed in between.
+		TEST_F(steering_catalog_unnamed_service, follows_the_entries_of_a_removed_service)
+		{
+			configure(4, {"parcel"});
+			put(known, "u9", entry(9, "parcel", "a"));
+			configure(5, {});
+			auto leaving = entry(9, "parcel", "a");
+			leaving.readiness = upstream_readiness::draining;
+			leaving.started_at_ms = 7'000;
+			put(known, "u9", leaving);
+			EXPECT_TRUE(known.upstreams.at("u9").listed);
+			EXPECT_EQ(known.upstreams.at("u9").status, service_status::removed);
+			configure(6, {"parcel"});
+			EXPECT_FALSE(accepts("u9"));
+			leaving.readiness = upstream_readiness::ready;
+			leaving.started_at_ms = 8'000;
+			put(known, "u9", leaving);
+			EXPECT_TRUE(accepts("u9"));
+		}
+
 		// Guards against an upstream that starts under a former ID for a service that is named later, and stays unused.
 		TEST_F(steering_catalog_unnamed_service, is_used_under_a_former_key_once_a_configuration_names_it)
 		{
