Make two tests of unknown services able to fail

Cause: read and tried as a stranger would, by taking parts of the fix out: admits_flow_beside_entry_of_unknown_service passed although any service superseded, since its two entries tied in the order of registration; no test failed when an agent's own service did not count as configured.

Change: the odd entry starts later, and the test says that it counts as later; is_none_at_the_agent_of_that_service is new.

Measured: with 'any service supersedes' the first fails, with 'own service not configured' the second; both pass on the product, which is unchanged.

--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -105,7 +105,10 @@
 			known = {};
 			known.own_service = key_of_service("desk");
 			put(known, "u1", entry(1, "desk", "a"));
-			put(known, "u9", entry(1, "old-desk", "b"));
+			auto odd = entry(1, "old-desk", "b");
+			odd.started_at_ms = 9'000;
+			put(known, "u9", odd);
+			ASSERT_TRUE(registered_later(known.upstreams.at("u9"), known.upstreams.at("u1")));
 			EXPECT_TRUE(admits_new_flows(state.gate, known, now)) << "no configuration yet";
 			put(known, "config", configured(3, {{.service = "desk", .weight = 1}}));
 			EXPECT_EQ(current_admission_status(state.gate, known, now), admission_status::accepting);
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -333,6 +333,26 @@
 			EXPECT_FALSE(accepts("u1")) << "a later run of its own service";
 		}
 
+		// Guards against new flows at a draining upstream by the entry of its former run, while its agent has read no
+		// configuration, or one that does not name the upstream's service.
+		TEST_F(steering_catalog_unnamed_service, is_none_at_the_agent_of_that_service)
+		{
+			known = {};
+			known.own_service = key_of_service("desk");
+			put(known, "u1", entry(1, "desk", "a"));
+			auto present = entry(1, "desk", "a");
+			present.readiness = upstream_readiness::draining;
+			register_again("u8", 60, present);
+			EXPECT_FALSE(accepts("u1")) << "no configuration yet";
+			auto config = configured(4, {{.service = "archive", .weight = 1}});
+			config.services.erase(config.services.begin());
+			put(known, "config", config);
+			EXPECT_FALSE(accepts("u1")) << "not named";
+			present.readiness = upstream_readiness::ready;
+			put(known, "u8", present);
+			EXPECT_TRUE(accepts("u8"));
+		}
+
 		// Guards against a catalog that depends on the order in which the two groups are first read.
 		TEST_F(steering_catalog_unnamed_service, has_the_same_effect_before_and_after_the_first_configuration)
 		{
