--- a/review/harness-3/deployment.hpp
+++ b/review/harness-3/deployment.hpp
@@ -132,6 +132,52 @@
 				   ",\"born\":" + std::to_string(born_) + "}";
 		}
 
+		/// Ends the target without a word: it loses its flows, and its entry expires after three heartbeats.
+		void crash()
+		{
+			down_ = true;
+			loop_.unwatch(socket_);
+			::close(socket_);
+			flows_.clear();
+			loop_.after(3 * heartbeat,
+						[this, key = "servers/" + id, born = born_]
+						{
+							if (born == born_ || key != "servers/" + id)
+							{
+								metadata_.remove(key);
+							}
+						});
+		}
+
+		/// Starts the target again, with an id of its choice.
+		void come_back(std::string new_id)
+		{
+			id = std::move(new_id);
+			born_ = now_unix_ms();
+			sequence_ = 0;
+			state = "ready";
+			socket_ = open_udp({ip, app_port});
+			loop_.watch(socket_, [this] { read(); });
+			down_ = false;
+			publish();
+		}
+
+		[[nodiscard]] bool is_down() const
+		{
+			return down_;
+		}
+
+		/// Registers with the present state.
+		void publish()
+		{
+			const auto key = "servers/" + id;
+			if (!down_ && metadata_.value_of(key) != entry())
+			{
+				++sequence_;
+				metadata_.put(key, entry());
+			}
+		}
+
 	private:
 		struct flow_state
 		{
@@ -146,13 +192,7 @@
 		/// Registers in the store about every heartbeat. The entry changes when more than its sequence number does.
 		void beat()
 		{
-			const auto stored = metadata_.value_of("servers/" + id);
-			const auto now = entry();
-			if (stored != now)
-			{
-				++sequence_;
-				metadata_.put("servers/" + id, entry());
-			}
+			publish();
 			loop_.after(heartbeat, [this] { beat(); });
 		}
 
@@ -170,6 +210,10 @@
 
 		void send(const packet& it)
 		{
+			if (down_)
+			{
+				return;
+			}
 			send_to(socket_, {ip, outbound_port}, sealed(it));
 		}
 
@@ -179,6 +223,11 @@
 			send_to(socket_, {ip, outbound_port}, encode(it));
 		}
 
+		[[nodiscard]] static long now_unix_ms()
+		{
+			return std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count();
+		}
+
 		[[nodiscard]] static packet answer(const flow_key& flow, std::uint32_t seq, std::uint32_t ack,
 										   std::uint8_t flags, std::string data = {})
 		{
@@ -309,7 +358,8 @@
 		int slots_;
 		int socket_;
 		int sequence_ = 0;
-		long born_ = std::chrono::duration_cast<ms>(std::chrono::system_clock::now().time_since_epoch()).count();
+		bool down_ = false;
+		long born_ = now_unix_ms();
 		std::uint32_t last_number_ = 0;
 		std::map<flow_key, flow_state> flows_;
 		std::set<flow_key> resets_;
@@ -342,7 +392,7 @@
 		}
 
 		std::list<process> processes;
-		ms restart_delay{1'000};
+		ms restart_delay{600};
 		ms grace{6'000};
 
 		process& add(const std::string& name, const std::string& role, const std::string& zone, std::uint32_t ip,
@@ -385,6 +435,10 @@
 		/// Sends SIGTERM, and SIGKILL after the grace period. The process is started again a second after its end.
 		void stop(process& it)
 		{
+			if (it.pid <= 0)
+			{
+				return;
+			}
 			record_.write("platform sends SIGTERM to " + it.name);
 			::kill(it.pid, SIGTERM);
 			loop_.after(grace,
