--- a/review/harness-3/deployment.hpp
+++ b/review/harness-3/deployment.hpp
@@ -86,6 +86,8 @@
 		bool wanted = true;
 		bool in_rotation = false; ///< Balancers: packets of requesters go there.
 		int misses = 0;
+		clock::time_point started;
+		int over_memory = 0; ///< How often the platform killed it since it exceeded its memory.
 	};
 
 	/// Target, beside an agent.
@@ -394,11 +396,19 @@
 		std::list<process> processes;
 		ms restart_delay{600};
 		ms grace{6'000};
+		long agent_memory_mb = 128;
+		long balancer_memory_mb = 260;
 
 		process& add(const std::string& name, const std::string& role, const std::string& zone, std::uint32_t ip,
 					 const std::string& service = {})
 		{
-			processes.push_back({.name = name, .role = role, .zone = zone, .service = service, .ip = ip});
+			process made;
+			made.name = name;
+			made.role = role;
+			made.zone = zone;
+			made.service = service;
+			made.ip = ip;
+			processes.push_back(std::move(made));
 			return processes.back();
 		}
 
@@ -416,6 +426,7 @@
 		{
 			write_settings(it);
 			++it.incarnation;
+			it.started = clock::now();
 			const auto settings = "NUTMEGTURN_CONFIG=" + folder_ + "/" + it.name + ".toml";
 			const auto log = folder_ + "/" + it.name + ".log";
 			it.pid = ::fork();
@@ -523,7 +534,8 @@
 			{
 				out << "outbound = \"" << ip << ":" << outbound_port << "\"\n";
 			}
-			out << "[limits]\ncpu_share = 0.15\ncpu_cores = 1\nmemory_mb = 128\nmax_fds = 4096\nlink_mbps = 1000.0\n"
+			out << "[limits]\ncpu_share = 0.15\ncpu_cores = 1\nmemory_mb = "
+				<< (agent ? agent_memory_mb : balancer_memory_mb) << "\nmax_fds = 4096\nlink_mbps = 1000.0\n"
 				<< "disk_mb = 0\n[fault_tolerance]\nmachines = 2\nzones = 1\nregions = 0\n[bounds]\nseed_lag_s = 3\n"
 				<< "reuse_after_s = 2\nstability_window_ms = 4000\nack_ms = 5000\ncatch_up_s = 4\ndrain_ms = 3000\n"
 				<< "grace_s = 6\nloss_slack_ms = 200\nconfig_apply_ms = 3000\ndowngrade_slack_ms = 250\n"
@@ -534,10 +546,37 @@
 				<< "value_bytes = 1048576\nmin_ttl_ms = 1000\n";
 		}
 
+		/// Returns the memory that a process has in use, in megabytes.
+		[[nodiscard]] static long memory_of(pid_t pid)
+		{
+			std::ifstream in{"/proc/" + std::to_string(pid) + "/statm"};
+			long size = 0;
+			long resident = 0;
+			in >> size >> resident;
+			return resident * ::sysconf(_SC_PAGESIZE) / 1'000'000;
+		}
+
+		/// Kills a process that exceeds its memory.
+		void limit_memory(process& it)
+		{
+			const long limit = it.role == "agent" ? agent_memory_mb : balancer_memory_mb;
+			// Until the program has been loaded, the memory is that of this process.
+			const bool loaded = it.pid > 0 && clock::now() - it.started > ms{100};
+			const long used = loaded ? memory_of(it.pid) : 0;
+			if (used > limit)
+			{
+				++it.over_memory;
+				record_.write("platform kills " + it.name + ": it has " + std::to_string(used) + " MB, memory_mb is " +
+							  std::to_string(limit));
+				::kill(it.pid, SIGKILL);
+			}
+		}
+
 		void watch_ends()
 		{
 			for (auto& it : processes)
 			{
+				limit_memory(it);
 				int status = 0;
 				if (it.pid > 0 && ::waitpid(it.pid, &status, WNOHANG) == it.pid)
 				{
--- a/review/harness-3/store.hpp
+++ b/review/harness-3/store.hpp
@@ -31,6 +31,7 @@
 	{
 	public:
 		static constexpr std::size_t page_items = 500;
+		static constexpr std::size_t page_bytes = 1'000'000;
 
 		store(event_loop& loop, const endpoint& local) : loop_{loop}, listener_{listen_tcp(local)}
 		{
@@ -185,7 +186,7 @@
 				{
 					continue;
 				}
-				if (n == page_items)
+				if (n == page_items || found.size() >= page_bytes)
 				{
 					more = true;
 					break;
