--- a/review/harness-3/deployment.hpp
+++ b/review/harness-3/deployment.hpp
@@ -3,6 +3,7 @@
 #include "store.hpp"
 
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 
 #include <algorithm>
@@ -432,6 +433,8 @@
 			it.pid = ::fork();
 			if (it.pid == 0)
 			{
+				// Ends with this program, also if that is killed.
+				::prctl(PR_SET_PDEATHSIG, SIGKILL);
 				const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
 				::dup2(out, STDOUT_FILENO);
 				::dup2(out, STDERR_FILENO);
@@ -897,21 +900,22 @@
 		}
 	};
 
-	/// Finds a loopback network on which no other case runs.
+	/// Finds a loopback network on which no other case runs. Its first address stays bound as a sign for others.
 	inline std::uint32_t find_network()
 	{
-		for (std::uint32_t second = 64; second < 250; ++second)
+		constexpr std::uint32_t first = 64;
+		constexpr std::uint32_t count = 186;
+		for (std::uint32_t i = 0; i < count; ++i)
 		{
-			const std::uint32_t network = 127U << 24U | ((second + static_cast<std::uint32_t>(::getpid())) % 186U + 64U)
-															<< 16U;
+			const auto second = first + (i + static_cast<std::uint32_t>(::getpid())) % count;
+			const std::uint32_t network = 127U << 24U | second << 16U;
 			const int fd = ::socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
 			const auto address = to_sockaddr({network | 1U, datagram_port});
-			const bool free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
-			::close(fd);
-			if (free)
+			if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0)
 			{
 				return network;
 			}
+			::close(fd);
 		}
 		throw std::runtime_error{"no free loopback network"};
 	}
