--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -63,7 +63,7 @@
 		const auto upstreams = static_cast<std::uint32_t>(state.range(0));
 		const auto known = make_catalog(upstreams);
 		const auto loads = make_loads(upstreams);
-		const auto service = key_of_service("desk");
+		const std::string_view service = "desk";
 		const auto now = start + milliseconds{1'000};
 		std::uint64_t flow = 0;
 		for (auto _ : state)
--- a/fuzz/steering_message.cpp
+++ b/fuzz/steering_message.cpp
@@ -35,8 +35,10 @@
 		it.version = random.below(4);
 		it.flow.caller.port = static_cast<std::uint16_t>(random.below(100));
 		it.load.requests_in_progress = static_cast<std::uint16_t>(random());
+		const std::string name(random.below(2 * max_sent_name_size), 'n');
+		it.service = it.zone = std::string_view{name}.substr(random.below(name.size() + 1));
 		it.packet = contents;
-		std::vector<std::byte> buf(max_message_header_size + contents.size());
+		std::vector<std::byte> buf(encoded_size_bound(it));
 		buf.resize(encode_message(it, buf));
 		for (auto n = random.below(4); n > 0; --n)
 		{
@@ -91,10 +93,11 @@
 			continue;
 		}
 		++accepted;
-		std::vector<std::byte> reencoded(max_message_header_size + it->packet.size());
+		std::vector<std::byte> reencoded(encoded_size_bound(*it));
 		reencoded.resize(encode_message(*it, reencoded));
 		const auto redecoded = decode_message(reencoded);
-		if (!redecoded || redecoded->kind != it->kind || !std::ranges::equal(redecoded->packet, it->packet))
+		if (!redecoded || redecoded->kind != it->kind || redecoded->service != it->service ||
+			redecoded->zone != it->zone || !std::ranges::equal(redecoded->packet, it->packet))
 		{
 			fmt::print("input {}: message changes when it is encoded and decoded again\n", i);
 			return EXIT_FAILURE;
--- a/include/nutmegturn/impl/balancer_flows.hpp
+++ b/include/nutmegturn/impl/balancer_flows.hpp
@@ -8,7 +8,7 @@
 	[[nodiscard]] steering_decision reject(steering_decision::action what, reason why);
 
 	/// Returns the decision to send a packet to an agent.
-	[[nodiscard]] steering_decision forward(message_kind kind, service_key service, ipv4 agent);
+	[[nodiscard]] steering_decision forward(message_kind kind, std::string_view service, ipv4 agent);
 
 	/// Returns whether a flow's holder may still be reachable.
 	[[nodiscard]] bool may_hold_flows(const balancer_state& state, const catalog& known, ipv4 holder,
--- a/include/nutmegturn/reason.hpp
+++ b/include/nutmegturn/reason.hpp
@@ -54,6 +54,7 @@
 		not_for_callers,
 		caller_gone,
 		overloaded,
+		name_too_long,
 		count
 	};
 
@@ -74,7 +75,7 @@
 			"stopping",      "malformed",        "conflict",
 			"no_route",      "route_unknown",    "all_declined",
 			"holder_gone",   "not_for_callers",  "caller_gone",
-			"overloaded"};
+			"overloaded",    "name_too_long"};
 	}
 
 	/// Returns the name used in metrics, logs and the audit log.
--- a/include/nutmegturn/steering/admission_order.hpp
+++ b/include/nutmegturn/steering/admission_order.hpp
@@ -20,7 +20,7 @@
 	struct admission_candidate
 	{
 		std::uint8_t priority = lowest_priority; ///< Of its traffic class.
-		std::uint32_t zone = 0;                  ///< Key of the zone of the balancer that sent it; 0 if unknown.
+		std::uint32_t zone = 0;                  ///< Number of the zone of the balancer that sent it; 0 if unknown.
 		ipv4 caller{};
 		monotonic_time since; ///< Arrival.
 	};
--- a/include/nutmegturn/steering/agent_state.hpp
+++ b/include/nutmegturn/steering/agent_state.hpp
@@ -58,11 +58,24 @@
 		std::vector<std::byte> opening_packet;
 	};
 
+	/// Availability zones by name, with the number that this process gave to each. Number 0 stands for no zone.
+	struct zone_numbers
+	{
+		by_name<std::uint32_t> numbers; ///< At most `max_numbered_zones`.
+	};
+
+	/// Zones with a number of their own. Those beyond the bound are treated like balancers without a zone.
+	inline constexpr std::size_t max_numbered_zones = 1'024;
+
+	/// Returns the number of a zone, which is given one if it has none yet.
+	/// \returns	0 for the empty name, and for a new zone at the bound.
+	[[nodiscard]] std::uint32_t number_of_zone(zone_numbers& zones, std::string_view name);
+
 	/// Balancer that subscribes to load reports.
 	struct known_balancer
 	{
 		monotonic_time last_heard;
-		std::uint32_t zone = 0; ///< Key of its availability zone.
+		std::uint32_t zone = 0; ///< Number of its availability zone in `agent_state::zones`.
 	};
 
 	/// Request that was forwarded and is not answered.
@@ -100,6 +113,7 @@
 		outstanding_work work;                                     ///< Requests that were delivered to the upstream.
 		std::uint32_t slots = 0; ///< Of the upstream, when the last request was delivered; 0 if unknown.
 		std::unordered_map<ipv4, known_balancer> balancers; ///< Keyed by instance.
+		zone_numbers zones;                                 ///< Of the balancers.
 		double failure_ratio = 0;          ///< Moving average of the share of requests that the upstream reset.
 		monotonic_time failure_ratio_at{}; ///< Last update of `failure_ratio`.
 		sent_report near_report;           ///< Last one to the balancers of the agent's zone.
--- a/include/nutmegturn/steering/balancer_flows.hpp
+++ b/include/nutmegturn/steering/balancer_flows.hpp
@@ -39,7 +39,7 @@
 
 		action what = action::drop;
 		message_kind kind = message_kind::flow_packet;
-		service_key service{};
+		std::string service; ///< `open`: service chosen for the flow.
 		std::vector<ipv4> agents;
 		std::vector<ipv4> required;
 		reason why = reason::none;
--- a/include/nutmegturn/steering/catalog.hpp
+++ b/include/nutmegturn/steering/catalog.hpp
@@ -17,14 +17,6 @@
 
 namespace nutmegturn::steering
 {
-	/// Hash of a service's name; identifies the service in messages.
-	enum class service_key : std::uint32_t
-	{
-	};
-
-	/// Returns the key of a service.
-	[[nodiscard]] service_key key_of_service(std::string_view name) noexcept;
-
 	/// Group of records that are listed and watched together.
 	enum class record_group : std::uint8_t
 	{
@@ -45,7 +37,6 @@
 	{
 		std::string key;
 		upstream_entry entry;
-		service_key service{};
 		service_status status = service_status::unknown;
 		store_revision registered; ///< Revision at which the upstream registered under this key.
 		bool superseded = false;   ///< Another upstream registered later at the same address, so this one has ended.
@@ -59,9 +50,9 @@
 	/// Route with the services that may hold its flows.
 	struct known_route
 	{
-		std::vector<std::pair<service_key, std::uint32_t>> services; ///< With weights, for new flows.
+		std::vector<weighted_service> services; ///< For new flows; none has weight 0.
 		std::uint64_t total_weight = 0;
-		std::map<service_key, monotonic_time> former_services; ///< Removed services, with the time of removal.
+		std::map<std::string, monotonic_time> former_services; ///< Removed services, with the time of removal.
 		traffic_class traffic;
 	};
 
@@ -96,25 +87,34 @@
 		std::set<std::string> held;      ///< Keys whose known state is newer than the restored store's.
 	};
 
-	/// Local copy of the metadata store's records. Versions never decrease.
+	/// Largest size of the name of a service or zone that messages carry, in bytes. Such a message fits in one datagram
+	/// with a packet. Flows of a service with a longer name are rejected.
+	inline constexpr std::size_t max_sent_name_size = 1'024;
+
+	/// Map with names as keys.
+	template <typename Value>
+	using by_name = std::map<std::string, Value, std::less<>>;
+
+	/// Local copy of the metadata store's records. Versions never decrease. Services, zones and keys of entries stand
+	/// here under their names, since a hash of a name may be that of another name too.
 	struct catalog
 	{
 		std::uint64_t version = 0;
 		milliseconds idle_timeout{0};
 		monotonic_time versions_skipped_at{}; ///< When a version was read without those before it, or zero.
 		std::map<ipv4_endpoint, known_route> routes;
-		std::map<service_key, service_record> services;
-		std::set<service_key> named_services;   ///< Services that the configuration describes or that a route leads to.
-		std::optional<service_key> own_service; ///< Of an agent's upstream, by its settings; counts as configured.
-		std::map<service_key, priority_range> priorities; ///< By service, also those that routes led to formerly.
+		by_name<service_record> services;
+		std::set<std::string> named_services;   ///< Services that the configuration describes or that a route leads to.
+		std::optional<std::string> own_service; ///< Of an agent's upstream, by its settings; counts as configured.
+		by_name<priority_range> priorities;     ///< By service, also those that routes led to formerly.
 		std::map<std::string, known_upstream> upstreams;
 		std::map<std::string, withheld_entry> withheld;         ///< By key; applied once their services are named.
 		std::map<std::string, known_evacuation> evacuations;    ///< By zone.
 		std::map<std::string, std::uint64_t> ended_evacuations; ///< Revision number of the last one by key.
 		std::map<std::string, monotonic_time> evacuation_ended; ///< Time when the evacuation ended, by zone.
-		std::map<service_key, std::vector<const known_upstream*>> by_service; ///< Each list in the order of keys.
+		by_name<std::vector<const known_upstream*>> by_service; ///< Each list in the order of keys.
 		/// Upstreams of each service by zone; each list in the order of keys.
-		std::map<service_key, std::map<std::string, std::vector<const known_upstream*>, std::less<>>> by_service_zone;
+		by_name<by_name<std::vector<const known_upstream*>>> by_service_zone;
 		std::map<ipv4_endpoint, std::vector<known_upstream*>> by_address; ///< Each list in the order of keys.
 		std::map<std::string, store_revision> revisions;                  ///< Newest known revision of each key.
 		store_revision orders_revision;       ///< Newest revision of the group `operator_orders`.
@@ -180,6 +180,9 @@
 	/// Returns the number of entries in the store whose services no known configuration names.
 	[[nodiscard]] std::size_t count_upstreams_of_unknown_services(const catalog& known);
 
+	/// Returns the services of the present configuration whose names are longer than `max_sent_name_size`.
+	[[nodiscard]] std::vector<std::string_view> services_with_long_names(const catalog& known);
+
 	/// Removes upstreams and former services of routes after `former_upstream_retention`.
 	void expire_former(catalog& known, monotonic_time now);
 
@@ -188,10 +191,10 @@
 
 	/// Returns whether the routes that lead to a service differ in priority. A route that led there until
 	/// `former_upstream_retention` ago counts, since its open flows remain there.
-	[[nodiscard]] bool has_priorities(const catalog& known, service_key service);
+	[[nodiscard]] bool has_priorities(const catalog& known, std::string_view service);
 
 	/// Returns the smallest priority number of these routes; `lowest_priority` if there is none.
-	[[nodiscard]] std::uint8_t most_urgent_priority(const catalog& known, service_key service);
+	[[nodiscard]] std::uint8_t most_urgent_priority(const catalog& known, std::string_view service);
 
 	/// Returns whether `a` registered later than `b`. Only upstreams of one address are compared. The order of
 	/// registrations decides, since clocks of instances may be set back; start times decide if it is unknown.
@@ -211,5 +214,6 @@
 	/// Chooses the service of a new flow by the route's weights.
 	/// \param route	Has at least one service.
 	/// \param hash	Hash of the flow, so that every retransmission of an opening packet gets the same service.
-	[[nodiscard]] service_key choose_service(const known_route& route, std::uint64_t hash) noexcept;
+	/// \returns		The service's name in the route.
+	[[nodiscard]] const std::string& choose_service(const known_route& route, std::uint64_t hash) noexcept;
 }
--- a/include/nutmegturn/steering/message.hpp
+++ b/include/nutmegturn/steering/message.hpp
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <span>
+#include <string_view>
 #include <vector>
 
 namespace nutmegturn::steering
@@ -75,18 +76,20 @@
 		std::uint16_t cold_admissions_left = 0; ///< New flows that a cold upstream still accepts in this second.
 	};
 
-	/// Message between two processes. Fields that a kind does not use keep their defaults.
+	/// Message between two processes. Fields that a kind does not use keep their defaults. Names are sent in full: a
+	/// shorter form of a name may be that of another name too, and the receiver could not tell. A name that is longer
+	/// than `max_sent_name_size` is sent as the empty one, which names nothing.
 	struct message
 	{
 		message_kind kind = message_kind::subscribe;
-		service_key service{};          ///< `open`: service chosen for the flow.
+		std::string_view service;       ///< `open`: service chosen for the flow.
 		std::uint64_t version = 0;      ///< Newest configuration version known to the sender.
 		store_revision orders_revision; ///< Newest revision of `operator_orders` known to the sender.
 		flow_id flow;                   ///< `held`, `not_held`, `accepted`.
 		load_report load;               ///< All messages from agents.
 		ipv4 other_balancer{};          ///< All messages from agents: a balancer other than the receiver, or zero.
 		ipv4 reply_to{};                ///< `probe`: balancer that gets the reply.
-		std::uint32_t zone = 0;         ///< `subscribe`: key of the balancer's availability zone.
+		std::string_view zone;          ///< `subscribe`: the balancer's availability zone.
 		bool just_started = false;      ///< `subscribe`: the balancer has just started and has an empty flow table.
 
 		/// `open`, `flow_packet`, `probe`, `declined`, `not_held`: the caller's packet.
@@ -194,18 +197,18 @@
 	/// \returns				Nothing if the message has no whole report, as those of earlier releases.
 	[[nodiscard]] std::optional<work_report> decode_work_report(std::span<const std::byte> load_payload) noexcept;
 
-	/// Returns the key of an availability zone.
-	[[nodiscard]] std::uint32_t key_of_zone(std::string_view name) noexcept;
-
-	/// Largest size of a message without its `packet`, in bytes.
+	/// Largest size of a message without its names and its `packet`, in bytes.
 	inline constexpr std::size_t max_message_header_size = 48;
 
+	/// Returns an upper bound of the encoded size of a message, in bytes.
+	[[nodiscard]] std::size_t encoded_size_bound(const message& msg) noexcept;
+
 	/// Encodes a message.
-	/// \param out	At least `max_message_header_size` bytes plus the packet's size.
+	/// \param out	At least `encoded_size_bound` bytes.
 	/// \returns	Number of bytes written.
 	std::size_t encode_message(const message& msg, std::span<std::byte> out) noexcept;
 
 	/// Decodes a message.
-	/// \returns	The message, whose packet refers to `bytes`, or nothing if it is malformed.
+	/// \returns	The message, whose packet and names refer to `bytes`, or nothing if it is malformed.
 	[[nodiscard]] std::optional<message> decode_message(std::span<const std::byte> bytes) noexcept;
 }
--- a/include/nutmegturn/steering/opening_queue.hpp
+++ b/include/nutmegturn/steering/opening_queue.hpp
@@ -13,7 +13,7 @@
 	{
 		flow_id flow;
 		ipv4 balancer{};           ///< Balancer that sent the packet.
-		service_key service{};     ///< Service chosen by the balancer.
+		std::string service;       ///< Service chosen by the balancer.
 		std::uint64_t version = 0; ///< Configuration version of the balancer.
 		std::vector<std::byte> packet;
 		monotonic_time opened_at; ///< When the caller sent the first copy of the packet.
@@ -21,7 +21,7 @@
 		std::uint32_t copy = 0;  ///< Number of the newest copy that arrived, 0 for the first one.
 		milliseconds timeout{0}; ///< After which the caller gives up, according to the route; 0 if none.
 		std::uint8_t priority = lowest_priority; ///< The same for all packets of a service without priorities.
-		std::uint32_t zone = 0;                  ///< Key of the balancer's zone.
+		std::uint32_t zone = 0;                  ///< Number of the balancer's zone.
 	};
 
 	/// Opening packets that wait for an upstream whose slots are all taken.
--- a/include/nutmegturn/steering/request_queue.hpp
+++ b/include/nutmegturn/steering/request_queue.hpp
@@ -19,7 +19,7 @@
 		bool starts_request = false; ///< Its data begins a request.
 		bool repeatable = false;     ///< The caller repeats the request if it gets no response.
 		std::uint8_t priority = lowest_priority;
-		std::uint32_t zone = 0; ///< Key of the zone of the balancer that sent it.
+		std::uint32_t zone = 0; ///< Number of the zone of the balancer that sent it.
 		monotonic_time queued_at{};
 		std::uint32_t copies = 0; ///< Retransmissions that arrived since.
 		milliseconds timeout{0};  ///< After which a response would come too late; 0 if none.
--- a/include/nutmegturn/steering/upstream_choice.hpp
+++ b/include/nutmegturn/steering/upstream_choice.hpp
@@ -73,7 +73,7 @@
 	/// \param policy	With `request_count`, work reports are not used, all upstreams are compared, and only those of
 	///					exactly equal load are chosen by hash.
 	/// \returns		The upstream, or null if none accepts new flows.
-	[[nodiscard]] const known_upstream* choose_upstream(const catalog& known, service_key service,
+	[[nodiscard]] const known_upstream* choose_upstream(const catalog& known, std::string_view service,
 														const load_table& loads, std::string_view zone,
 														std::span<const ipv4> excluded, std::uint64_t hash,
 														std::uint8_t priority, placement_policy policy,
--- a/include/nutmegturn/steering/upstream_gate.hpp
+++ b/include/nutmegturn/steering/upstream_gate.hpp
@@ -10,8 +10,8 @@
 	struct upstream_gate
 	{
 		ipv4 instance{};
-		std::string zone; ///< By the settings; may be empty. The upstream's entry has one too.
-		service_key service{};
+		std::string zone;    ///< By the settings; may be empty. The upstream's entry has one too.
+		std::string service; ///< By the settings.
 		bool stopping = false;
 		monotonic_time started;                       ///< Start of this process.
 		std::deque<monotonic_time> recent_admissions; ///< New flows of the last second, oldest first.
@@ -49,7 +49,7 @@
 	/// \param version	Configuration version of the balancer.
 	/// \param route	Address that the caller used.
 	/// \returns		`admission_status::accepting` if the packet is to be forwarded; otherwise why it is declined.
-	[[nodiscard]] admission_status admit_opening(upstream_gate& gate, const catalog& known, service_key service,
+	[[nodiscard]] admission_status admit_opening(upstream_gate& gate, const catalog& known, std::string_view service,
 												 std::uint64_t version, const ipv4_endpoint& route, monotonic_time now);
 
 	/// Returns the admission status for load reports; admits nothing.
--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -31,7 +31,6 @@
 		using steering::to_string;
 
 		constexpr std::size_t batch_size = 64;
-		constexpr std::size_t datagram_size = 2'048;
 
 		/// Interval of checks whether a load report is due.
 		constexpr auto load_interval = 100ms;
@@ -56,7 +55,7 @@
 			{
 				state_.gate.instance = settings.instance;
 				state_.gate.zone = settings.zone;
-				state_.gate.service = steering::key_of_service(settings.service);
+				state_.gate.service = settings.service;
 				node_.catalog.own_service = state_.gate.service;
 				node_.orders_reader.use_agent_intervals();
 				node_.upstreams_reader.use_agent_intervals();
@@ -146,6 +145,7 @@
 					const auto from = to_ipv4(batch_.source(i));
 					if (!msg || !from)
 					{
+						node_.record_undecodable(from, batch_.payload(i));
 						continue;
 					}
 					++node_.messages.received[static_cast<std::size_t>(msg->kind)];
@@ -551,7 +551,7 @@
 			void send(ipv4 receiver, const message& msg)
 			{
 				++node_.messages.sent[static_cast<std::size_t>(msg.kind)];
-				const auto buffer = to_peers_->reserve(steering::max_message_header_size + msg.packet.size());
+				const auto buffer = to_peers_->reserve(encoded_size_bound(msg));
 				const auto size = encode_message(msg, buffer);
 				to_peers_->commit(to_endpoint({.ip = receiver, .port = node_.settings.peer_port}), size);
 			}
--- a/src/node/balancer_node.cpp
+++ b/src/node/balancer_node.cpp
@@ -30,7 +30,6 @@
 		using fields = node_log::fields;
 
 		constexpr std::size_t batch_size = 64;
-		constexpr std::size_t datagram_size = 2'048;
 
 		/// Interval of checks whether the catalog has been read.
 		constexpr auto catalog_check_interval = 20ms;
@@ -176,12 +175,14 @@
 				{
 					const auto msg = steering::decode_message(batch_.payload(i));
 					const auto from = to_ipv4(batch_.source(i));
-					if (msg && from)
+					if (!msg || !from)
 					{
-						++node_.messages.received[static_cast<std::size_t>(msg->kind)];
-						node_.handle_reported_orders(from->ip, *msg, msg->other_balancer);
-						handle_message(*msg, from->ip);
+						node_.record_undecodable(from, batch_.payload(i));
+						continue;
 					}
+					++node_.messages.received[static_cast<std::size_t>(msg->kind)];
+					node_.handle_reported_orders(from->ip, *msg, msg->other_balancer);
+					handle_message(*msg, from->ip);
 				}
 			}
 
@@ -271,7 +272,7 @@
 			void send(ipv4 agent, const message& msg)
 			{
 				++node_.messages.sent[static_cast<std::size_t>(msg.kind)];
-				const auto buffer = to_peers_->reserve(steering::max_message_header_size + msg.packet.size());
+				const auto buffer = to_peers_->reserve(encoded_size_bound(msg));
 				const auto size = encode_message(msg, buffer);
 				to_peers_->commit(to_endpoint({.ip = agent, .port = node_.settings.peer_port}), size);
 			}
@@ -401,7 +402,7 @@
 				message msg;
 				msg.version = node_.catalog.version;
 				msg.orders_revision = node_.catalog.orders_revision;
-				msg.zone = steering::key_of_zone(node_.settings.zone);
+				msg.zone = node_.settings.zone;
 				msg.just_started = !first_subscribe_;
 				steering::store_knowledge knowledge{.entry = {},
 													.orders = node_.orders_reader.own_evidence(),
@@ -453,7 +454,7 @@
 				message msg;
 				msg.version = node_.catalog.version;
 				msg.orders_revision = node_.catalog.orders_revision;
-				msg.zone = steering::key_of_zone(node_.settings.zone);
+				msg.zone = node_.settings.zone;
 				for (const auto agent : unheard_agents(state_, node_.catalog))
 				{
 					send(agent, msg);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -29,6 +29,9 @@
 		/// Interval of checks for a settings file that changed without a signal.
 		constexpr std::chrono::seconds settings_check_interval{5};
 
+		/// Shortest time between two log lines about datagrams that are no messages.
+		constexpr std::chrono::minutes undecodable_log_interval{1};
+
 		/// Returns the counters of messages by kind in the Prometheus text format.
 		[[nodiscard]] std::string format_message_counts(const steering::message_counts& counts)
 		{
@@ -219,6 +222,22 @@
 		}
 	}
 
+	void node::record_undecodable(const std::optional<steering::ipv4_endpoint>& from, std::span<const std::byte> bytes)
+	{
+		++undecodable;
+		const auto now = loop.now();
+		if (undecodable_logged_at_ != monotonic_time{} && now - undecodable_logged_at_ < undecodable_log_interval)
+		{
+			return;
+		}
+		undecodable_logged_at_ = now;
+		const auto layout =
+			bytes.empty() ? std::string{"none"} : fmt::format("0x{:02x}", std::to_integer<int>(bytes.front()));
+		log.write(log_level::warning, "message_undecodable",
+				  "datagram of another process dropped: damaged, or of a build with another layout of messages",
+				  {{"from", from ? to_string(*from) : "unknown"}, {"layout", layout}});
+	}
+
 	void node::fetch_records(steering::ipv4 instance, std::unique_ptr<http_connection>& connection,
 							 std::string_view path, store_reader& reader)
 	{
@@ -259,12 +278,15 @@
 		metrics_snapshot snapshot{std::array<const metrics_shard*, 1>{&metrics}};
 		return fmt::format("{}{}{}nutmegturn_log_lines_dropped_total {}\n"
 						   "nutmegturn_unreadable_records_total {}\nnutmegturn_upstreams_of_unknown_services {}\n"
+						   "nutmegturn_services_with_long_names {}\n"
 						   "nutmegturn_datagrams_refused_total {}\n"
+						   "nutmegturn_messages_undecodable_total {}\n"
 						   "nutmegturn_handler_failures_total {}\nnutmegturn_searches_total {}\n{}{}",
 						   snapshot.to_prometheus(), format_store_calls("orders", orders_reader),
 						   format_store_calls("upstreams", upstreams_reader), log.dropped(), catalog.unreadable_records,
-						   count_upstreams_of_unknown_services(catalog), datagrams_refused, handler_exceptions,
-						   searches, format_message_counts(messages), metrics_by_class.to_prometheus());
+						   count_upstreams_of_unknown_services(catalog), services_with_long_names(catalog).size(),
+						   datagrams_refused, undecodable, handler_exceptions, searches,
+						   format_message_counts(messages), metrics_by_class.to_prometheus());
 	}
 
 	bool node::loaded() const noexcept
--- a/src/node/node.hpp
+++ b/src/node/node.hpp
@@ -7,12 +7,19 @@
 #include "node/class_metrics.hpp"
 #include "node/status_server.hpp"
 #include "node/store_reader.hpp"
+#include "platform/packet_format.hpp"
 
 #include <memory>
+#include <optional>
+#include <span>
 #include <vector>
 
 namespace nutmegturn::node
 {
+	/// Size of the largest datagram that a process receives, in bytes: a message with a name and a packet.
+	inline constexpr std::size_t datagram_size =
+		steering::max_message_header_size + steering::max_sent_name_size + platform::max_packet_size;
+
 	/// Settings file of a process.
 	struct settings_file
 	{
@@ -54,6 +61,11 @@
 		/// \param balancer	Balancer that knows all upstream entries, or zero.
 		void handle_reported_orders(steering::ipv4 instance, const steering::message& msg, steering::ipv4 balancer);
 
+		/// Counts a datagram that is no message, for example one of a build with another layout of messages, and logs
+		/// the first one of a minute.
+		/// \param from	Its sender; nothing if the address is not an IPv4 one.
+		void record_undecodable(const std::optional<steering::ipv4_endpoint>& from, std::span<const std::byte> bytes);
+
 		/// Handles what another process knows of the store. An agent that watches only its upstream's entry compares
 		/// the entry's revision instead of the group's.
 		void handle_knowledge(const steering::store_knowledge& knowledge) noexcept;
@@ -94,6 +106,7 @@
 		steering::newer_version newer_version;
 		std::uint64_t datagrams_refused = 0;  ///< Datagrams that the operating system did not accept for sending.
 		steering::message_counts messages;    ///< Exchanged with other processes.
+		std::uint64_t undecodable = 0;        ///< Datagrams of other processes that were no message.
 		std::uint64_t searches = 0;           ///< Searches for holders that were started.
 		std::uint64_t handler_exceptions = 0; ///< Messages that were dropped because handling them threw.
 		settings_file file;
@@ -108,6 +121,7 @@
 		std::chrono::milliseconds confirmation_age_{0};  ///< Age at which to ask next.
 		monotonic_time confirmation_asked_at_;           ///< When the store was asked last.
 		std::vector<const store_reader*> asked_readers_; ///< Readers that asked then; empty after `take_confirmed`.
+		monotonic_time undecodable_logged_at_;           ///< Zero if there was none.
 		void watch_settings();
 		void fetch_records(steering::ipv4 instance, std::unique_ptr<http_connection>& connection, std::string_view path,
 						   store_reader& reader);
--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -412,6 +412,7 @@
 		{
 			log_service_limits();
 			log_unknown_services();
+			log_long_names();
 			log_invalid_classes(std::get<steering::configuration>(record.value));
 		}
 		log_.write(is_odd(effect) ? log_level::warning : log_level::info, to_string(effect), describe(record, effect),
@@ -531,6 +532,21 @@
 		}
 	}
 
+	void store_reader::log_long_names()
+	{
+		constexpr std::size_t shown_size = 60;
+		const auto names = services_with_long_names(catalog_);
+		if (!names.empty())
+		{
+			log_.write(log_level::warning, "service_names_too_long",
+					   "flows of services whose names are too long for a message are rejected",
+					   {{"services", std::to_string(names.size())},
+						{"first", std::string{names.front().substr(0, shown_size)}},
+						{"longest_allowed", std::to_string(steering::max_sent_name_size)},
+						{"version", std::to_string(catalog_.version)}});
+		}
+	}
+
 	void store_reader::log_invalid_classes(const steering::configuration& config)
 	{
 		if (config.routes_with_default_class > 0)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -167,6 +167,9 @@
 		/// Logs how many entries have a service that the configuration does not name, when that number has changed.
 		void log_unknown_services();
 
+		/// Logs that flows of services are rejected because of the length of their names.
+		void log_long_names();
+
 		/// Logs that routes have the default class because a field of their class is invalid.
 		void log_invalid_classes(const steering::configuration& config);
 		void handle_failure(const std::string& reason);
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -98,12 +98,27 @@
 			return &flow;
 		}
 
+		/// Returns whether an opening packet is a copy of one that was admitted here or that the upstream answered. A
+		/// probe of the flow shows neither. While the flow opens, a configuration may send the copies to another
+		/// service; a packet for another service that arrives later belongs to another flow of the caller's port.
+		[[nodiscard]] bool is_copy_of_admitted(const agent_state& state, const message& msg, const flow_id& id)
+		{
+			const auto found = state.flows.find(id);
+			if (found == state.flows.end())
+			{
+				return false;
+			}
+			const auto& flow = found->second;
+			const bool admitted = flow.opened_here || flow.stage != flow_stage::unconfirmed;
+			return admitted && (msg.service == state.gate.service || flow.stage != flow_stage::open);
+		}
+
 		[[nodiscard]] agent_decision handle_opening(agent_state& state, const catalog& known, const message& msg,
 													const segment& packet, ipv4 balancer, monotonic_time now)
 		{
 			agent_decision decision;
 			const auto id = flow_of_caller(packet);
-			const bool retransmission = state.flows.contains(id);
+			const bool retransmission = is_copy_of_admitted(state, msg, id);
 			const auto status =
 				retransmission ? admission_status::accepting
 							   : admit_opening(state.gate, known, msg.service, msg.version, packet.destination, now);
--- a/src/steering/agent_reports.cpp
+++ b/src/steering/agent_reports.cpp
@@ -79,9 +79,24 @@
 		}
 	}
 
+	std::uint32_t number_of_zone(zone_numbers& zones, std::string_view name)
+	{
+		if (const auto found = zones.numbers.find(name); found != zones.numbers.end())
+		{
+			return found->second;
+		}
+		if (name.empty() || zones.numbers.size() >= max_numbered_zones)
+		{
+			return 0;
+		}
+		const auto number = static_cast<std::uint32_t>(zones.numbers.size() + 1);
+		return zones.numbers.emplace(name, number).first->second;
+	}
+
 	held_flows_notice handle_subscription(agent_state& state, const message& msg, ipv4 balancer, monotonic_time now)
 	{
-		state.balancers[balancer] = {.last_heard = now, .zone = msg.zone};
+		const auto zone = number_of_zone(state.zones, msg.zone);
+		state.balancers[balancer] = {.last_heard = now, .zone = zone};
 		held_flows_notice notice;
 		if (!msg.just_started)
 		{
@@ -90,7 +105,7 @@
 		notice.balancers.push_back(balancer);
 		for (const auto& [id, flow] : state.flows)
 		{
-			if (flow.stage == flow_stage::open && zone_of_flow(state, flow) == msg.zone)
+			if (flow.stage == flow_stage::open && zone_of_flow(state, flow) == zone)
 			{
 				notice.flows.push_back(id);
 			}
@@ -210,7 +225,7 @@
 	{
 		const bool near_due = take_report_if_due(state.near_report, report, slots, min_report_interval, now);
 		const bool far_due = take_report_if_due(state.far_report, report, slots, min_far_report_interval, now);
-		const auto own_zone = key_of_zone(state.gate.zone);
+		const auto own_zone = number_of_zone(state.zones, state.gate.zone);
 		std::vector<ipv4> recipients;
 		for (const auto& [balancer, known] : state.balancers)
 		{
--- a/src/steering/agent_requests.cpp
+++ b/src/steering/agent_requests.cpp
@@ -313,7 +313,7 @@
 	{
 		return {.flow = flow_of_caller(packet),
 				.balancer = balancer,
-				.service = msg.service,
+				.service = std::string{msg.service},
 				.version = msg.version,
 				.packet = {msg.packet.begin(), msg.packet.end()},
 				.opened_at = now - age_of_copy(packet.acknowledgement),
--- a/src/steering/balancer_flows.cpp
+++ b/src/steering/balancer_flows.cpp
@@ -71,11 +71,11 @@
 				.what = what, .kind = {}, .service = {}, .agents = {}, .required = {}, .why = why, .upstream_key = {}};
 		}
 
-		steering_decision forward(message_kind kind, service_key service, ipv4 agent)
+		steering_decision forward(message_kind kind, std::string_view service, ipv4 agent)
 		{
 			return {.what = steering_decision::action::forward,
 					.kind = kind,
-					.service = service,
+					.service = std::string{service},
 					.agents = {agent},
 					.required = {},
 					.why = reason::none,
--- a/src/steering/balancer_openings.cpp
+++ b/src/steering/balancer_openings.cpp
@@ -100,7 +100,8 @@
 				   load.report.requests_in_progress + load.flows_since_report < queued_requests_ratio * slots;
 		}
 
-		[[nodiscard]] const std::vector<const known_upstream*>& upstreams_of(const catalog& known, service_key service)
+		[[nodiscard]] const std::vector<const known_upstream*>& upstreams_of(const catalog& known,
+																			 std::string_view service)
 		{
 			static const std::vector<const known_upstream*> none;
 			const auto found = known.by_service.find(service);
@@ -122,8 +123,9 @@
 		/// Chooses the least loaded upstream that reports room for a priority.
 		/// \returns	The upstream, or null if there is none or the packet was sent to too many.
 		[[nodiscard]] const known_upstream* choose_upstream_with_room(const balancer_state& state, const catalog& known,
-																	  service_key service, const balancer_flow& flow,
-																	  std::uint8_t priority, monotonic_time now)
+																	  std::string_view service,
+																	  const balancer_flow& flow, std::uint8_t priority,
+																	  monotonic_time now)
 		{
 			const known_upstream* best = nullptr;
 			auto lowest = std::numeric_limits<double>::max();
@@ -152,7 +154,7 @@
 		}
 
 		[[nodiscard]] steering_decision send_opening(balancer_state& state, balancer_flow& flow,
-													 const known_upstream& chosen, service_key service,
+													 const known_upstream& chosen, std::string_view service,
 													 monotonic_time now)
 		{
 			flow.holder = chosen.entry.address.ip;
@@ -185,7 +187,7 @@
 												   monotonic_time now)
 		{
 			const auto hash = hash_flow(id);
-			const auto service = choose_service(route, hash);
+			const auto& service = choose_service(route, hash);
 			const auto* chosen = flow.tried.size() < max_tried_upstreams
 									 ? choose_upstream(known, service, state.loads, state.zone, flow.tried, hash,
 													   route.traffic.priority, state.placement, now)
@@ -211,7 +213,7 @@
 		/// Returns the upstream at which a flow's opening packet waits, or null if that is not known: its agent has
 		/// sent a message since it was sent the packet, and reports that packets of this priority wait.
 		[[nodiscard]] const known_upstream* find_waiting_place(const balancer_state& state, const catalog& known,
-															   service_key service, const balancer_flow& flow,
+															   std::string_view service, const balancer_flow& flow,
 															   std::uint8_t priority, monotonic_time now)
 		{
 			const auto load = state.loads.find(flow.holder);
@@ -244,10 +246,9 @@
 
 		/// Rejects a new flow if all upstreams that accept flows report that it would wait for longer than its caller.
 		/// \returns	The rejection, or nothing.
-		[[nodiscard]] std::optional<steering_decision> reject_if_overloaded(const balancer_state& state,
-																			const catalog& known, service_key service,
-																			const traffic_class& traffic,
-																			monotonic_time now)
+		[[nodiscard]] std::optional<steering_decision>
+		reject_if_overloaded(const balancer_state& state, const catalog& known, std::string_view service,
+							 const traffic_class& traffic, monotonic_time now)
 		{
 			auto decision = reject(steering_decision::action::reset, reason::overloaded);
 			for (const auto* it : upstreams_of(known, service))
@@ -297,7 +298,7 @@
 		/// request is not full but has just restarted, and the agent of an upstream of another service returns all
 		/// packets. Agents of earlier releases report no work; what they return is placed again without a limit.
 		[[nodiscard]] bool is_returned_as_full(const balancer_state& state, const catalog& known, const message& msg,
-											   service_key service, ipv4 agent)
+											   std::string_view service, ipv4 agent)
 		{
 			const bool busy = msg.load.admission == admission_status::full ||
 							  (msg.load.admission == admission_status::accepting && msg.load.requests_in_progress > 0);
@@ -329,7 +330,7 @@
 			}
 			else
 			{
-				const auto service = choose_service(route, hash_flow(id));
+				const auto& service = choose_service(route, hash_flow(id));
 				const auto* chosen = choose_upstream_with_room(state, known, service, flow, priority, now);
 				if (chosen == nullptr && wait_for_unanswered(flow))
 				{
@@ -374,7 +375,11 @@
 			{
 				return reject(steering_decision::action::reset, reason::table_full);
 			}
-			const auto service = choose_service(route, hash_flow(id));
+			const auto& service = choose_service(route, hash_flow(id));
+			if (service.size() > max_sent_name_size)
+			{
+				return reject(steering_decision::action::reset, reason::name_too_long);
+			}
 			// Another balancer may have placed the first copy of a retransmission.
 			const bool is_first_copy = is_new && packet.acknowledgement == 0;
 			if (auto rejection =
@@ -442,7 +447,7 @@
 				}
 				return reject(steering_decision::action::drop, reason::caller_gone);
 			}
-			const auto service = choose_service(route->second, hash_flow(id));
+			const auto& service = choose_service(route->second, hash_flow(id));
 			return has_priorities(known, service) && is_returned_as_full(state, known, msg, service, agent)
 					   ? place_again(state, known, route->second, id, flow, now)
 					   : place_flow(state, known, route->second, id, flow, now);
--- a/src/steering/balancer_search.cpp
+++ b/src/steering/balancer_search.cpp
@@ -80,8 +80,8 @@
 			decision.what = steering_decision::action::search;
 			for (const auto& [service, upstreams] : known.by_service)
 			{
-				const bool in_route = std::ranges::any_of(route.services, [id = service](const auto& share)
-														  { return share.first == id; });
+				const bool in_route = std::ranges::any_of(route.services, [&id = service](const auto& share)
+														  { return share.service == id; });
 				if (!all_services && !in_route && !route.former_services.contains(service))
 				{
 					continue;
--- a/src/steering/catalog.cpp
+++ b/src/steering/catalog.cpp
@@ -2,10 +2,9 @@
 
 #include "nutmegturn/impl/fixed_log2.hpp"
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <tuple>
 
 namespace nutmegturn::steering
@@ -25,8 +24,8 @@
 		/// Adds an upstream to the indexes, so that a change of one of many upstreams does not rebuild them.
 		void add_to_index(catalog& known, known_upstream& upstream)
 		{
-			insert_by_key(known.by_service[upstream.service], upstream);
-			insert_by_key(known.by_service_zone[upstream.service][upstream.entry.zone], upstream);
+			insert_by_key(known.by_service[upstream.entry.service], upstream);
+			insert_by_key(known.by_service_zone[upstream.entry.service][upstream.entry.zone], upstream);
 			insert_by_key(known.by_address[upstream.entry.address], upstream);
 		}
 
@@ -57,14 +56,15 @@
 			}
 		}
 
-		[[nodiscard]] bool is_configured(const catalog& known, service_key service)
+		[[nodiscard]] bool is_configured(const catalog& known, const std::string& service)
 		{
 			return known.own_service == service || known.named_services.contains(service);
 		}
 
 		/// Returns the status of a service by the present configuration.
 		/// \param before	Status by the former one.
-		[[nodiscard]] service_status next_status(const catalog& known, service_key service, service_status before)
+		[[nodiscard]] service_status next_status(const catalog& known, const std::string& service,
+												 service_status before)
 		{
 			if (is_configured(known, service))
 			{
@@ -80,8 +80,8 @@
 			known.by_address.clear();
 			for (auto& [key, it] : known.upstreams)
 			{
-				known.by_service[it.service].push_back(&it);
-				known.by_service_zone[it.service][it.entry.zone].push_back(&it);
+				known.by_service[it.entry.service].push_back(&it);
+				known.by_service_zone[it.entry.service][it.entry.zone].push_back(&it);
 				known.by_address[it.entry.address].push_back(&it);
 			}
 			mark_superseded(known);
@@ -143,7 +143,7 @@
 		{
 			const auto found = known.upstreams.find(key);
 			return found != known.upstreams.end() && found->second.status != service_status::unknown &&
-				   !describes(entry, found->second) && !is_configured(known, key_of_service(entry.service));
+				   !describes(entry, found->second) && !is_configured(known, entry.service);
 		}
 
 		/// \param created	Revision of the creation of the entry's key.
@@ -159,16 +159,14 @@
 			known.withheld.erase(key);
 			const auto [found, added] = known.upstreams.try_emplace(key);
 			auto& upstream = found->second;
-			const auto service = key_of_service(entry.service);
-			const bool same_service = !added && upstream.service == service;
+			const bool same_service = !added && upstream.entry.service == entry.service;
 			const bool moved = !added && (!same_service || upstream.entry.address != entry.address ||
 										  upstream.entry.zone != entry.zone);
 			const bool same_run = !added && may_be_same_run(upstream, entry);
 			const auto former_status = same_service ? upstream.status : service_status::unknown;
 			upstream = {.key = key,
 						.entry = entry,
-						.service = service,
-						.status = next_status(known, service, former_status),
+						.status = next_status(known, entry.service, former_status),
 						.registered = same_run ? upstream.registered : created,
 						.superseded = false,
 						.changed_at = now,
@@ -200,7 +198,7 @@
 			{
 				if (share.weight > 0)
 				{
-					made.services.emplace_back(key_of_service(share.service), share.weight);
+					made.services.push_back(share);
 					made.total_weight += share.weight;
 				}
 			}
@@ -211,20 +209,20 @@
 		void keep_former_services(known_route& made, const known_route& before, monotonic_time now)
 		{
 			made.former_services = before.former_services;
-			for (const auto& [service, weight] : before.services)
+			for (const auto& share : before.services)
 			{
-				made.former_services[service] = now;
+				made.former_services[share.service] = now;
 			}
-			for (const auto& [service, weight] : made.services)
+			for (const auto& share : made.services)
 			{
-				made.former_services.erase(service);
+				made.former_services.erase(share.service);
 			}
 		}
 
 		void rebuild_priorities(catalog& known)
 		{
 			known.priorities.clear();
-			const auto add = [&known](service_key service, std::uint8_t priority)
+			const auto add = [&known](const std::string& service, std::uint8_t priority)
 			{
 				auto& range = known.priorities[service];
 				range.most_urgent = std::min(range.most_urgent, priority);
@@ -232,9 +230,9 @@
 			};
 			for (const auto& [address, route] : known.routes)
 			{
-				for (const auto& [service, weight] : route.services)
+				for (const auto& share : route.services)
 				{
-					add(service, route.traffic.priority);
+					add(share.service, route.traffic.priority);
 				}
 				for (const auto& [service, removed_at] : route.former_services)
 				{
@@ -243,18 +241,18 @@
 			}
 		}
 
-		[[nodiscard]] std::set<service_key> services_named_by(const configuration& config)
+		[[nodiscard]] std::set<std::string> services_named_by(const configuration& config)
 		{
-			std::set<service_key> named;
+			std::set<std::string> named;
 			for (const auto& service : config.services)
 			{
-				named.insert(key_of_service(service.name));
+				named.insert(service.name);
 			}
 			for (const auto& route : config.routes)
 			{
 				for (const auto& share : route.services)
 				{
-					named.insert(key_of_service(share.service));
+					named.insert(share.service);
 				}
 			}
 			return named;
@@ -266,7 +264,7 @@
 			std::map<std::string, withheld_entry> named;
 			for (const auto& [key, it] : known.withheld)
 			{
-				if (is_configured(known, key_of_service(it.entry.service)))
+				if (is_configured(known, it.entry.service))
 				{
 					named.emplace(key, it);
 				}
@@ -278,7 +276,7 @@
 		}
 
 		/// Sets the services that the configuration names, and what follows for the entries that were read before.
-		void set_named_services(catalog& known, std::set<service_key> named, monotonic_time now)
+		void set_named_services(catalog& known, std::set<std::string> named, monotonic_time now)
 		{
 			if (known.named_services == named)
 			{
@@ -287,7 +285,7 @@
 			known.named_services = std::move(named);
 			for (auto& [key, it] : known.upstreams)
 			{
-				it.status = next_status(known, it.service, it.status);
+				it.status = next_status(known, it.entry.service, it.status);
 			}
 			mark_superseded(known);
 			apply_withheld(known, now);
@@ -314,7 +312,7 @@
 			known.services.clear();
 			for (const auto& service : config.services)
 			{
-				known.services[key_of_service(service.name)] = service;
+				known.services[service.name] = service;
 			}
 			known.version = config.version;
 			known.idle_timeout = config.idle_timeout;
@@ -415,11 +413,6 @@
 		}
 	}
 
-	service_key key_of_service(std::string_view name) noexcept
-	{
-		return service_key{static_cast<std::uint32_t>(XXH3_64bits(name.data(), name.size()))};
-	}
-
 	std::string_view to_string(record_effect effect) noexcept
 	{
 		return effect_names[static_cast<std::size_t>(effect)];
@@ -539,19 +532,27 @@
 		return static_cast<std::size_t>(n) + known.withheld.size();
 	}
 
+	std::vector<std::string_view> services_with_long_names(const catalog& known)
+	{
+		std::vector<std::string_view> found;
+		std::ranges::copy_if(known.named_services, std::back_inserter(found),
+							 [](const auto& it) { return it.size() > max_sent_name_size; });
+		return found;
+	}
+
 	traffic_class traffic_class_of(const catalog& known, const ipv4_endpoint& address)
 	{
 		const auto found = known.routes.find(address);
 		return found == known.routes.end() ? traffic_class{} : found->second.traffic;
 	}
 
-	bool has_priorities(const catalog& known, service_key service)
+	bool has_priorities(const catalog& known, std::string_view service)
 	{
 		const auto found = known.priorities.find(service);
 		return found != known.priorities.end() && found->second.most_urgent != found->second.least_urgent;
 	}
 
-	std::uint8_t most_urgent_priority(const catalog& known, service_key service)
+	std::uint8_t most_urgent_priority(const catalog& known, std::string_view service)
 	{
 		const auto found = known.priorities.find(service);
 		return found == known.priorities.end() ? lowest_priority : found->second.most_urgent;
@@ -592,17 +593,17 @@
 		return now < upstream.changed_at + upstream.entry.cold_remaining;
 	}
 
-	service_key choose_service(const known_route& route, std::uint64_t hash) noexcept
+	const std::string& choose_service(const known_route& route, std::uint64_t hash) noexcept
 	{
 		auto draw = detail::mix_bits(hash) % std::max<std::uint64_t>(route.total_weight, 1);
-		for (const auto& [service, weight] : route.services)
+		for (const auto& share : route.services)
 		{
-			if (draw < weight)
+			if (draw < share.weight)
 			{
-				return service;
+				return share.service;
 			}
-			draw -= weight;
+			draw -= share.weight;
 		}
-		return route.services.front().first;
+		return route.services.front().service;
 	}
 }
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -11,7 +11,7 @@
 	{
 		/// Version of the message layout, the first byte of each message. Must change with each incompatible layout, as
 		/// processes drop messages of other versions.
-		constexpr std::uint8_t layout_version = 0x50;
+		constexpr std::uint8_t layout_version = 0x51;
 		constexpr std::size_t prefix_size = 18; ///< Layout version, kind, configuration version and revision.
 
 		/// Names for logs and metrics, in the order of `admission_status`. Part of the log format, so they stay when an
@@ -121,13 +121,38 @@
 			return kind == message_kind::held || kind == message_kind::not_held || kind == message_kind::accepted;
 		}
 
-		/// Returns the size of the fields between the prefix and the packet.
+		/// Size of a name's length.
+		constexpr std::size_t name_length_size = 2;
+
+		/// Returns the size of the fields between the prefix and the packet, without the bytes of a name.
 		[[nodiscard]] std::size_t fields_size(message_kind kind) noexcept
 		{
 			return (comes_from_agent(kind) ? load_fields_size : 0) + (has_flow(kind) ? encoded_flow_size : 0) +
-				   (kind == message_kind::open ? sizeof(std::uint32_t) : 0) +
+				   (kind == message_kind::open ? name_length_size : 0) +
 				   (kind == message_kind::probe ? sizeof(std::uint32_t) : 0) +
-				   (kind == message_kind::subscribe ? sizeof(std::uint32_t) + 1 : 0);
+				   (kind == message_kind::subscribe ? 1 + name_length_size : 0);
+		}
+
+		/// Writes the length and the bytes of a name.
+		void put_name(writer& to, std::string_view name) noexcept
+		{
+			const auto sent = name.size() <= max_sent_name_size ? name : std::string_view{};
+			to.put(static_cast<std::uint16_t>(sent.size()));
+			to.put(std::as_bytes(std::span{sent}));
+		}
+
+		/// Reads a name. Its length has been checked to be there.
+		/// \returns	The name, or nothing if it is truncated or too long.
+		[[nodiscard]] std::optional<std::string_view> take_name(reader& in) noexcept
+		{
+			const std::size_t size = in.take<std::uint16_t>();
+			if (size > max_sent_name_size || size > in.in.size())
+			{
+				return std::nullopt;
+			}
+			const std::string_view name{reinterpret_cast<const char*>(in.in.data()), size};
+			in.in = in.in.subspan(size);
+			return name;
 		}
 
 		void put_endpoint(writer& out, const ipv4_endpoint& ep) noexcept
@@ -153,11 +178,6 @@
 		return admission_status_names[static_cast<std::size_t>(state)];
 	}
 
-	std::uint32_t key_of_zone(std::string_view name) noexcept
-	{
-		return static_cast<std::uint32_t>(key_of_service(name));
-	}
-
 	void encode_flows(std::span<const flow_id> flows, std::span<std::byte> out) noexcept
 	{
 		writer to{.out = out};
@@ -299,6 +319,11 @@
 		return order;
 	}
 
+	std::size_t encoded_size_bound(const message& msg) noexcept
+	{
+		return max_message_header_size + msg.service.size() + msg.zone.size() + msg.packet.size();
+	}
+
 	std::size_t encode_message(const message& msg, std::span<std::byte> out) noexcept
 	{
 		writer to{.out = out};
@@ -308,7 +333,7 @@
 		to.put(pack_revision(msg.orders_revision));
 		if (msg.kind == message_kind::open)
 		{
-			to.put(static_cast<std::uint32_t>(msg.service));
+			put_name(to, msg.service);
 		}
 		if (msg.kind == message_kind::probe)
 		{
@@ -316,8 +341,8 @@
 		}
 		if (msg.kind == message_kind::subscribe)
 		{
-			to.put(msg.zone);
 			to.put(static_cast<std::uint8_t>(msg.just_started));
+			put_name(to, msg.zone);
 		}
 		if (comes_from_agent(msg.kind))
 		{
@@ -359,7 +384,12 @@
 		}
 		if (msg.kind == message_kind::open)
 		{
-			msg.service = service_key{in.take<std::uint32_t>()};
+			const auto service = take_name(in);
+			if (!service)
+			{
+				return std::nullopt;
+			}
+			msg.service = *service;
 		}
 		if (msg.kind == message_kind::probe)
 		{
@@ -367,8 +397,13 @@
 		}
 		if (msg.kind == message_kind::subscribe)
 		{
-			msg.zone = in.take<std::uint32_t>();
 			msg.just_started = in.take<std::uint8_t>() != 0;
+			const auto zone = take_name(in);
+			if (!zone)
+			{
+				return std::nullopt;
+			}
+			msg.zone = *zone;
 		}
 		if (comes_from_agent(msg.kind))
 		{
--- a/src/steering/upstream_choice.cpp
+++ b/src/steering/upstream_choice.cpp
@@ -337,14 +337,14 @@
 			}
 		}
 
-		[[nodiscard]] std::vector<candidate> sample_candidates(service_key service,
+		[[nodiscard]] std::vector<candidate> sample_candidates(std::string_view service,
 															   std::span<const known_upstream* const> upstreams,
 															   const placement_query& query, int round)
 		{
 			std::vector<candidate> candidates;
 			candidates.reserve(2 * sampled_per_zone_kind);
 			const auto seed = detail::mix_bits(query.hash + static_cast<std::uint64_t>(round));
-			const auto& zones = query.known.by_service_zone.at(service);
+			const auto& zones = query.known.by_service_zone.find(service)->second;
 			if (const auto own = zones.find(query.zone); own != zones.end())
 			{
 				add_sample(candidates, own->second, true, query, seed);
@@ -498,7 +498,7 @@
 		++load.flows_since_report;
 	}
 
-	const known_upstream* choose_upstream(const catalog& known, service_key service, const load_table& loads,
+	const known_upstream* choose_upstream(const catalog& known, std::string_view service, const load_table& loads,
 										  std::string_view zone, std::span<const ipv4> excluded, std::uint64_t hash,
 										  std::uint8_t priority, placement_policy policy, monotonic_time now)
 	{
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -33,7 +33,7 @@
 		{
 			const auto route = known.routes.find(address);
 			return route == known.routes.end() || std::ranges::none_of(route->second.services, [&gate](const auto& it)
-																	   { return it.first == gate.service; });
+																	   { return it.service == gate.service; });
 		}
 	}
 
@@ -45,7 +45,7 @@
 		{
 			for (const auto* upstream : it->second)
 			{
-				const bool own = upstream->service == gate.service;
+				const bool own = upstream->entry.service == gate.service;
 				if (own && (latest == nullptr || registered_later(*upstream, *latest)))
 				{
 					latest = upstream;
@@ -110,7 +110,7 @@
 		return gate_is_cold(gate, known, now) ? admission_status::cold : admission_status::accepting;
 	}
 
-	admission_status admit_opening(upstream_gate& gate, const catalog& known, service_key service,
+	admission_status admit_opening(upstream_gate& gate, const catalog& known, std::string_view service,
 								   std::uint64_t version, const ipv4_endpoint& route, monotonic_time now)
 	{
 		if (service != gate.service || (version < known.version && route_excludes_service(gate, known, route)))
--- a/tests/placement_simulation.hpp
+++ b/tests/placement_simulation.hpp
@@ -101,8 +101,8 @@
 				put(known_, "u" + std::to_string(1'000 + i), made);
 				agents_[i].gate.instance = instance(i);
 				agents_[i].gate.zone = "a";
-				agents_[i].balancers[ipv4{1}] = {.last_heard = start, .zone = key_of_zone("a")};
-				agents_[i].gate.service = key_of_service("desk");
+				agents_[i].balancers[ipv4{1}] = {.last_heard = start, .zone = number_of_zone(agents_[i].zones, "a")};
+				agents_[i].gate.service = "desk";
 			}
 			const auto seconds = std::chrono::ceil<std::chrono::seconds>(load.length).count();
 			result_.flows.assign(load.upstreams, std::vector<std::size_t>(static_cast<std::size_t>(seconds)));
@@ -248,8 +248,8 @@
 
 		[[nodiscard]] std::uint32_t choose(const load_table& loads, const flow_id& id) const
 		{
-			const auto* chosen = choose_upstream(known_, key_of_service("desk"), loads, "a", {}, hash_flow(id), 0,
-												 placement_policy::request_cost, now_);
+			const auto* chosen =
+				choose_upstream(known_, "desk", loads, "a", {}, hash_flow(id), 0, placement_policy::request_cost, now_);
 			return static_cast<std::uint32_t>(chosen->entry.address.ip) - static_cast<std::uint32_t>(instance(0));
 		}
 
--- a/tests/priority_world.hpp
+++ b/tests/priority_world.hpp
@@ -50,7 +50,7 @@
 		agent_state state;
 		state.gate.instance = instance(1);
 		state.gate.zone = "a";
-		state.gate.service = key_of_service("desk");
+		state.gate.service = "desk";
 		return state;
 	}
 
--- a/tests/process_deployment.hpp
+++ b/tests/process_deployment.hpp
@@ -368,10 +368,14 @@
 			{
 				list.push_back(fmt::format(R"({{"host":"{}","prefix":"/443/","service":"{}"}})", host, service));
 			}
-			store.put("op/config",
-					  fmt::format(R"({{"version":{},"routes":[{}],"services":[{{"name":"desk"}},{{"name":"archive"}}],)"
-								  R"("limits":{{"idle_timeout_ms":15000}}}})",
-								  version, fmt::join(list, ",")));
+			std::vector<std::string> services;
+			for (const auto& it : described_services)
+			{
+				services.push_back(fmt::format(R"({{"name":"{}"}})", it));
+			}
+			store.put("op/config", fmt::format(R"({{"version":{},"routes":[{}],"services":[{}],)"
+											   R"("limits":{{"idle_timeout_ms":15000}}}})",
+											   version, fmt::join(list, ","), fmt::join(services, ",")));
 		}
 
 		/// Starts all processes and waits until each balancer reaches an upstream by a route.
@@ -478,6 +482,9 @@
 		std::map<std::uint16_t, opened_flow> flows; ///< By the caller's port.
 		bool unexplained_keys_empty = false;        ///< In settings that are written from now on.
 
+		/// Services with limits in the configuration; without limits, an upstream counts as cold.
+		std::vector<std::string> described_services{"desk", "archive"};
+
 	private:
 		/// Returns the address of a process or caller. The second byte is one that `own_address` does not use, since
 		/// tests run in parallel.
--- a/tests/steering_agent_test.cpp
+++ b/tests/steering_agent_test.cpp
@@ -22,7 +22,7 @@
 			{
 				state.gate.instance = instance(1);
 				state.gate.zone = "a";
-				state.gate.service = key_of_service("desk");
+				state.gate.service = "desk";
 				state.watched_since = now;
 			}
 
@@ -103,7 +103,7 @@
 		TEST_F(steering_agent_opening, admits_flow_beside_entry_of_unknown_service)
 		{
 			known = {};
-			known.own_service = key_of_service("desk");
+			known.own_service = "desk";
 			put(known, "u1", entry(1, "desk", "a"));
 			auto odd = entry(1, "old-desk", "b");
 			odd.started_at_ms = 9'000;
@@ -122,8 +122,8 @@
 		TEST_F(steering_agent_opening, declines_flow_of_former_service_whichever_configuration_is_known)
 		{
 			known = {};
-			known.own_service = key_of_service("parcel");
-			state.gate.service = key_of_service("parcel");
+			known.own_service = "parcel";
+			state.gate.service = "parcel";
 			put(known, "u1", entry(1, "desk", "a"));
 			put(known, "u9", entry(1, "parcel", "a"));
 			for (const std::uint64_t version : {0U, 3U})
@@ -141,7 +141,7 @@
 		// Guards against flows that reach the wrong service after an address was reused.
 		TEST_F(steering_agent_opening, declines_flow_of_another_service)
 		{
-			state.gate.service = key_of_service("archive");
+			state.gate.service = "archive";
 			const auto decision = packet(message_kind::open, opening());
 			EXPECT_FALSE(decision.to_upstream);
 			EXPECT_EQ(decision.replies.at(0).why, admission_status::other_service);
@@ -317,7 +317,7 @@
 		TEST_F(steering_agent_flow, announces_flow_once_to_zone_and_again_to_new_balancer)
 		{
 			message subscription;
-			subscription.zone = key_of_zone("a");
+			subscription.zone = "a";
 			EXPECT_TRUE(handle_subscription(state, subscription, balancer, now).flows.empty());
 			open_flow();
 			const auto notices = collect_newly_held_flows(state);
@@ -336,9 +336,9 @@
 			constexpr std::uint32_t slots = 2;
 			constexpr ipv4 far_balancer{0x0a020901};
 			message subscription;
-			subscription.zone = key_of_zone(state.gate.zone);
+			subscription.zone = state.gate.zone;
 			static_cast<void>(handle_subscription(state, subscription, balancer, now));
-			subscription.zone = key_of_zone("other zone");
+			subscription.zone = "other zone";
 			static_cast<void>(handle_subscription(state, subscription, far_balancer, now));
 			load_report report;
 			EXPECT_EQ(load_report_recipients(state, report, slots, now).size(), 2U) << "the first report";
--- a/tests/steering_catalog_test.cpp
+++ b/tests/steering_catalog_test.cpp
@@ -26,7 +26,7 @@
 		{
 			EXPECT_EQ(put(known, "config", configured(2, {{.service = "archive", .weight = 1}})), record_effect::none);
 			EXPECT_EQ(known.version, 3U);
-			EXPECT_EQ(known.routes.at(route_address).services.at(0).first, key_of_service("desk"));
+			EXPECT_EQ(known.routes.at(route_address).services.at(0).service, "desk");
 		}
 
 		// Guards against a class that is lost between the record and the decisions, against priorities of a service
@@ -39,8 +39,8 @@
 									.services = {{.service = service, .weight = 1}, {.service = "idle", .weight = 0}},
 									.traffic = {.kind = request_kind::download, .priority = priority}};
 			};
-			const auto desk = key_of_service("desk");
-			const auto archive = key_of_service("archive");
+			const std::string desk = "desk";
+			const std::string archive = "archive";
 			EXPECT_FALSE(has_priorities(known, desk));
 			EXPECT_EQ(most_urgent_priority(known, desk), lowest_priority);
 			configuration config;
@@ -55,8 +55,8 @@
 			EXPECT_EQ(most_urgent_priority(known, desk), 2);
 			EXPECT_FALSE(has_priorities(known, archive));
 			EXPECT_EQ(most_urgent_priority(known, archive), 7);
-			EXPECT_FALSE(has_priorities(known, key_of_service("idle")));
-			EXPECT_EQ(most_urgent_priority(known, key_of_service("idle")), lowest_priority);
+			EXPECT_FALSE(has_priorities(known, "idle"));
+			EXPECT_EQ(most_urgent_priority(known, "idle"), lowest_priority);
 
 			config.version = 5;
 			config.routes = {route(1, "desk", 5), route(2, "archive", 2), route(3, "desk", 5)};
@@ -152,8 +152,8 @@
 			ASSERT_FALSE(accepts("u1"));
 			put(known, "u9", entry(9, "archive", "a"));
 			EXPECT_TRUE(accepts("u1"));
-			EXPECT_EQ(known.by_service.at(key_of_service("archive")).size(), 2U);
-			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 3U);
+			EXPECT_EQ(known.by_service.at("archive").size(), 2U);
+			EXPECT_EQ(known.by_service.at("desk").size(), 3U);
 		}
 
 		// Guards against an upstream that gets no flows because its clock was set back before its restart.
@@ -257,7 +257,7 @@
 			odd.sequence = 900;
 			EXPECT_EQ(put(known, "u1", odd), record_effect::service_unknown);
 			EXPECT_FALSE(accepts("u1"));
-			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 3U) << "still searched for flows";
+			EXPECT_EQ(known.by_service.at("desk").size(), 3U) << "still searched for flows";
 			own.sequence = 5;
 			put(known, "u1", own);
 			EXPECT_TRUE(accepts("u1"));
@@ -292,7 +292,7 @@
 			configure(4, {"parcel"});
 			EXPECT_TRUE(accepts("u1"));
 			EXPECT_EQ(known.upstreams.at("u1").entry.address.ip, instance(9));
-			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 2U);
+			EXPECT_EQ(known.by_service.at("desk").size(), 2U);
 		}
 
 		// Guards against an upstream that is put into use by a withheld entry that is no longer in the store.
@@ -321,7 +321,7 @@
 		TEST_F(steering_catalog_unnamed_service, is_judged_by_the_settings_of_an_agent_before_a_configuration_is_known)
 		{
 			known = {};
-			known.own_service = key_of_service("desk");
+			known.own_service = "desk";
 			put(known, "u1", entry(1, "desk", "a"));
 			register_again("u9", 50, entry(1, "old-desk", "a"));
 			EXPECT_TRUE(accepts("u1"));
@@ -338,7 +338,7 @@
 		TEST_F(steering_catalog_unnamed_service, is_none_at_the_agent_of_that_service)
 		{
 			known = {};
-			known.own_service = key_of_service("desk");
+			known.own_service = "desk";
 			put(known, "u1", entry(1, "desk", "a"));
 			auto present = entry(1, "desk", "a");
 			present.readiness = upstream_readiness::draining;
@@ -398,7 +398,7 @@
 			EXPECT_TRUE(known.upstreams.contains("u1"));
 			expire_former(known, start + 61s);
 			EXPECT_FALSE(known.upstreams.contains("u1"));
-			EXPECT_EQ(known.by_service.at(key_of_service("desk")).size(), 2U);
+			EXPECT_EQ(known.by_service.at("desk").size(), 2U);
 		}
 
 		// Guards against keeping upstreams and evacuations that are missing in a full listing.
@@ -422,7 +422,7 @@
 			for (std::uint64_t hash = 0; hash < 10'000; ++hash)
 			{
 				EXPECT_EQ(choose_service(route, hash), choose_service(route, hash));
-				archive += choose_service(route, hash) == key_of_service("archive") ? 1 : 0;
+				archive += choose_service(route, hash) == "archive" ? 1 : 0;
 			}
 			EXPECT_NEAR(archive, 1'000, 120);
 		}
--- a/tests/steering_message_test.cpp
+++ b/tests/steering_message_test.cpp
@@ -30,7 +30,7 @@
 					   .cold_admissions_left = 2};
 			it.other_balancer = instance(9);
 			it.reply_to = instance(8);
-			it.zone = 5;
+			it.zone = "zone-a";
 			it.just_started = true;
 			it.packet = packet;
 			return it;
@@ -52,7 +52,7 @@
 			for (const auto kind : all_kinds)
 			{
 				const auto sent = make_full_message(kind, packet);
-				std::array<std::byte, max_message_header_size + packet.size()> buf{};
+				std::vector<std::byte> buf(encoded_size_bound(sent));
 				const auto size = encode_message(sent, buf);
 				ASSERT_LE(size, buf.size());
 				const auto got = decode_message(std::span{buf}.first(size));
@@ -61,7 +61,8 @@
 				EXPECT_EQ(got->version, 3U);
 				EXPECT_EQ(got->orders_revision, (store_revision{.era = 3, .number = 99}));
 				EXPECT_TRUE(std::ranges::equal(got->packet, packet));
-				EXPECT_EQ(got->service, kind == message_kind::open ? sent.service : service_key{});
+				EXPECT_EQ(got->service, kind == message_kind::open ? sent.service : "");
+				EXPECT_EQ(got->zone, kind == message_kind::subscribe ? sent.zone : "");
 				EXPECT_EQ(got->reply_to, kind == message_kind::probe ? sent.reply_to : ipv4{});
 				EXPECT_EQ(got->just_started, kind == message_kind::subscribe);
 				EXPECT_EQ(got->load.requests_in_progress, kind >= message_kind::held ? 3U : 0U);
@@ -75,8 +76,9 @@
 		{
 			for (const auto kind : all_kinds)
 			{
-				std::array<std::byte, max_message_header_size> buf{};
-				const auto size = encode_message(make_full_message(kind, {}), buf);
+				const auto sent = make_full_message(kind, {});
+				std::vector<std::byte> buf(encoded_size_bound(sent));
+				const auto size = encode_message(sent, buf);
 				for (std::size_t n = 0; n < size; ++n)
 				{
 					EXPECT_FALSE(decode_message(std::span{buf}.first(n))) << n;
--- a/tests/steering_overload_test.cpp
+++ b/tests/steering_overload_test.cpp
@@ -76,7 +76,7 @@
 			{
 				state.gate.instance = instance(1);
 				state.gate.zone = "a";
-				state.gate.service = key_of_service("desk");
+				state.gate.service = "desk";
 			}
 
 			[[nodiscard]] static segment from_port(segment packet, std::uint16_t port)
--- a/tests/steering_request_cost_test.cpp
+++ b/tests/steering_request_cost_test.cpp
@@ -177,7 +177,7 @@
 			agent_state state;
 			state.gate.instance = instance(1);
 			state.gate.zone = "a";
-			state.gate.service = key_of_service("desk");
+			state.gate.service = "desk";
 			const auto send = [&](message_kind kind, const segment& packet, monotonic_time at)
 			{ return handle_balancer_packet(state, known, about_flow(kind), packet, ipv4{9}, at).to_upstream; };
 			ASSERT_TRUE(send(message_kind::open, opening(), start));
--- a/tests/steering_upstream_choice_test.cpp
+++ b/tests/steering_upstream_choice_test.cpp
@@ -36,7 +36,7 @@
 			[[nodiscard]] const known_upstream* choose(std::uint64_t hash, std::span<const ipv4> excluded = {},
 													   std::uint8_t priority = 0) const
 			{
-				return choose_upstream(known, key_of_service("desk"), loads, "a", excluded, hash, priority,
+				return choose_upstream(known, "desk", loads, "a", excluded, hash, priority,
 									   placement_policy::request_cost, now);
 			}
 
@@ -135,7 +135,7 @@
 			}
 			EXPECT_GT(chosen().size(), 100U) << "spills over to many upstreams of the other zone";
 			put(known, "u1000", entry(0, "desk", "b"), now);
-			const auto& by_zone = known.by_service_zone.at(key_of_service("desk"));
+			const auto& by_zone = known.by_service_zone.at("desk");
 			EXPECT_EQ(by_zone.at("a").size(), 9U) << "an upstream that changes its zone leaves the index of the former";
 			EXPECT_EQ(by_zone.at("b").size(), 991U);
 		}
--- a/tests/steering_world.hpp
+++ b/tests/steering_world.hpp
@@ -109,7 +109,7 @@
 		message msg;
 		msg.kind = kind;
 		msg.flow = id;
-		msg.service = key_of_service("desk");
+		msg.service = "desk";
 		msg.version = 3;
 		return msg;
 	}
