Refuse records whose ids are equal

What callers would see: our own interface knows services, upstreams and zones by a 64-bit hash of their names.

Cause: `config_store` compared names and endpoints of records, not the ids that stand for the names.

Change: a record whose name has the hash of another one in force is a conflict like any other: the later one is refused, both are named, and it comes into force by itself when the id is free.

Conclusion: no two records in force share an id.

--- a/src/config_store.cpp
+++ b/src/config_store.cpp
@@ -166,11 +166,12 @@
 			return found;
 		}
 
-		/// Names and endpoints claimed by the candidates accepted so far.
+		/// Names, ids and endpoints claimed by the candidates accepted so far. Processes know a service, upstream or
+		/// zone by its id, a hash of its name, so that no two records in force may have the same one.
 		class accepted_claims
 		{
 		public:
-			/// An accepted candidate that conflicts with a record, and the name or endpoint that both claim.
+			/// An accepted candidate that conflicts with a record, and the name, id or endpoint that both claim.
 			struct conflict
 			{
 				candidate* holder;
@@ -188,6 +189,11 @@
 									  found.push_back({it->second, fmt::format("name {}", name)});
 								  }
 							  });
+				if (const auto it = ids_.find(hash_name(rec.name));
+					it != ids_.end() && it->second->rec().name != rec.name)
+				{
+					found.push_back({it->second, fmt::format("id {:016x}", it->first)});
+				}
 				for_each_endpoint(rec,
 								  [&](const endpoint& ep, std::string_view owner)
 								  {
@@ -207,6 +213,7 @@
 			void add(candidate& holder)
 			{
 				for_each_name(holder.rec(), [&](std::string_view name) { names_[name] = &holder; });
+				ids_[hash_name(holder.rec().name)] = &holder;
 				for_each_endpoint(holder.rec(),
 								  [&](const endpoint& ep, std::string_view owner)
 								  {
@@ -219,6 +226,7 @@
 			void remove(const candidate& holder)
 			{
 				for_each_name(holder.rec(), [&](std::string_view name) { names_.erase(name); });
+				ids_.erase(hash_name(holder.rec().name));
 				for_each_endpoint(holder.rec(),
 								  [&](const endpoint& ep, std::string_view)
 								  {
@@ -239,6 +247,7 @@
 			};
 
 			std::unordered_map<std::string_view, candidate*> names_;
+			std::unordered_map<std::uint64_t, candidate*> ids_;
 			std::unordered_map<endpoint, endpoint_claim, endpoint_hash> endpoints_;
 		};
 
--- a/tests/config_store_test.cpp
+++ b/tests/config_store_test.cpp
@@ -224,6 +224,34 @@
 		EXPECT_EQ(in_force(store), (in_force_map{{"a", 3}, {"b", 4}}));
 	}
 
+	// Guards against two services, upstreams or zones with one id, of which each process would know one or the other
+	// by it, in any order of arrival.
+	TEST(config_store, refuses_a_record_whose_name_has_the_hash_of_another_one)
+	{
+		const auto service_of = [](const std::string& name, int port) {
+			return fmt::format(R"({{"schema":2,"kind":"service","name":"{}","addresses":["127.0.0.1:{}"]}})", name,
+							   port);
+		};
+		const std::string first = "/cz/npagconkpdflaknj";
+		const std::string second = "/cz/dnpabmgmnnnhaaci";
+		ASSERT_EQ(hash_name(first), hash_name(second));
+		std::vector<record_version> versions{version("a", 1, service_of(first, 1)),
+											 version("b", 2, service_of(second, 2)),
+											 version("c", 3, service_of("/cz/other", 3))};
+		do
+		{
+			config_store store;
+			for (const auto& it : versions)
+			{
+				config_store_apply(store, std::span{&it, 1}, revision{});
+			}
+			EXPECT_EQ(in_force(store), (in_force_map{{"a", 1}, {"c", 3}}));
+			const auto freed = version("a", 4, std::nullopt);
+			config_store_apply(store, std::span{&freed, 1}, revision{});
+			EXPECT_EQ(in_force(store), (in_force_map{{"b", 2}, {"c", 3}})) << "the id is free again";
+		} while (std::ranges::next_permutation(versions, {}, &record_version::rev).found);
+	}
+
 	// Guards against the loss of the accepted version after many refused publications.
 	TEST(config_store, keeps_the_accepted_version_behind_any_number_of_refused_ones)
 	{
