Move the log lines about records out of the store reader

Change: record_log writes what is logged about records and their effect; the reader calls the store. Lines, fields and their order stay.

Measured: 23 tests of the reader, stale configurations, odd entries and known revisions pass.

--- a/src/node/store_reader.cpp
+++ b/src/node/store_reader.cpp
@@ -18,24 +18,6 @@
 			return platform::decode_response(result.status, {era.data(), era.size()}, result.body);
 		}
 
-		/// Returns whether a record names nothing to use.
-		[[nodiscard]] bool is_odd(steering::record_effect effect) noexcept
-		{
-			return effect == steering::record_effect::unreadable || effect == steering::record_effect::service_unknown;
-		}
-
-		/// Returns the text of the log line on a record.
-		[[nodiscard]] std::string describe(const steering::store_record& record, steering::record_effect effect)
-		{
-			if (const auto* problem = std::get_if<steering::unreadable_record>(&record.value))
-			{
-				return problem->problem;
-			}
-			return effect == steering::record_effect::service_unknown
-					   ? "entry not used: the configuration does not name its service"
-					   : "metadata store record applied";
-		}
-
 		/// Returns whether a page does not lead further in a listing, which would then be read without end.
 		[[nodiscard]] bool repeats_page(const store_follower& follower, const platform::store_response& page)
 		{
@@ -46,12 +28,12 @@
 
 	store_reader::store_reader(event_loop& loop, node_log& log, steering::catalog& catalog, const endpoint& store,
 							   steering::record_group group, std::uint64_t seed)
-		: loop_{loop}, log_{log}, catalog_{catalog}, group_{group}, connection_{loop, store},
-		  confirmation_{loop,
-						store,
-						{.target = [this] { return confirmation_target(); },
-						 .done = [this](const http_result& result, monotonic_time started)
-						 { handle_confirmation(result, started); }}},
+		: loop_{loop}, log_{log}, catalog_{catalog}, group_{group}, record_log_{log, catalog, group},
+		  connection_{loop, store}, confirmation_{loop,
+												  store,
+												  {.target = [this] { return confirmation_target(); },
+												   .done = [this](const http_result& result, monotonic_time started)
+												   { handle_confirmation(result, started); }}},
 		  random_{seed}
 	{
 	}
@@ -368,11 +350,7 @@
 	{
 		for (const auto& [key, effect] : steering::finish_listing(catalog_, group_, listed, revision, loop_.now()))
 		{
-			log_.write(log_level::info, to_string(effect), "record missing in a listing of the metadata store",
-					   {{"key", key},
-						{"era", std::to_string(revision.era)},
-						{"revision", std::to_string(revision.number)},
-						{"version", std::to_string(catalog_.version)}});
+			record_log_.log_missing(key, effect, revision);
 		}
 		const auto& held = era_of(catalog_, group_).held;
 		std::erase_if(encoded_, [&](const auto& it) { return !listed.contains(it.first) && !held.contains(it.first); });
@@ -402,39 +380,11 @@
 	void store_reader::apply(const steering::store_record& record)
 	{
 		const auto effect = apply_record(catalog_, group_, record, loop_.now());
-		if (effect == steering::record_effect::none)
+		if (effect != steering::record_effect::none)
 		{
-			log_ignored(record);
-			return;
-		}
-		update_encoded(record);
-		if (effect == steering::record_effect::configured)
-		{
-			log_service_limits();
-			log_unknown_services();
-			log_long_names();
-			log_invalid_classes(std::get<steering::configuration>(record.value));
-		}
-		log_.write(is_odd(effect) ? log_level::warning : log_level::info, to_string(effect), describe(record, effect),
-				   {{"key", record.key},
-					{"era", std::to_string(record.revision.era)},
-					{"revision", std::to_string(record.revision.number)},
-					{"version", std::to_string(catalog_.version)}});
-	}
-
-	void store_reader::log_ignored(const steering::store_record& record) const
-	{
-		const auto& known = catalog_.revisions.at(record.key);
-		const bool held = era_of(catalog_, group_).held.contains(record.key);
-		if (held || record.revision < known)
-		{
-			log_.write(log_level::info, "record_ignored", "metadata store record older than the known one",
-					   {{"key", record.key},
-						{"era", std::to_string(record.revision.era)},
-						{"revision", std::to_string(record.revision.number)},
-						{"known_era", std::to_string(known.era)},
-						{"known_revision", std::to_string(known.number)}});
+			update_encoded(record);
 		}
+		record_log_.log_effect(record, effect);
 	}
 
 	void store_reader::update_encoded(const steering::store_record& record)
@@ -510,55 +460,6 @@
 		}
 	}
 
-	void store_reader::log_service_limits()
-	{
-		for (const auto& [key, service] : catalog_.services)
-		{
-			log_.write(log_level::info, "service_configured", "service configured with limits for cold upstreams",
-					   {{"service", service.name},
-						{"cold_ms", std::to_string(service.cold_time.count())},
-						{"cold_requests_per_s", fmt::format("{}", service.cold_requests_per_s)}});
-		}
-	}
-
-	void store_reader::log_unknown_services()
-	{
-		const auto n = count_upstreams_of_unknown_services(catalog_);
-		if (std::exchange(unknown_services_logged_, n) != n && n > 0)
-		{
-			log_.write(log_level::warning, "services_unknown",
-					   "entries not used: the configuration does not name their services",
-					   {{"entries", std::to_string(n)}, {"version", std::to_string(catalog_.version)}});
-		}
-	}
-
-	void store_reader::log_long_names()
-	{
-		constexpr std::size_t shown_size = 60;
-		const auto names = services_with_long_names(catalog_);
-		if (!names.empty())
-		{
-			log_.write(log_level::warning, "service_names_too_long",
-					   "flows of services whose names are too long for a message are rejected",
-					   {{"services", std::to_string(names.size())},
-						{"first", std::string{names.front().substr(0, shown_size)}},
-						{"longest_allowed", std::to_string(steering::max_sent_name_size)},
-						{"version", std::to_string(catalog_.version)}});
-		}
-	}
-
-	void store_reader::log_invalid_classes(const steering::configuration& config)
-	{
-		if (config.routes_with_default_class > 0)
-		{
-			log_.write(log_level::warning, "class_invalid",
-					   "routes with an invalid class have the default class; the first one is named",
-					   {{"version", std::to_string(config.version)},
-						{"routes", std::to_string(config.routes_with_default_class)},
-						{"first", config.first_invalid_class}});
-		}
-	}
-
 	void store_reader::handle_failure(const std::string& reason)
 	{
 		if (!follower_.unreachable)
--- a/src/node/store_reader.hpp
+++ b/src/node/store_reader.hpp
@@ -7,6 +7,7 @@
 
 #include "node/http_call.hpp"
 #include "node/node_log.hpp"
+#include "node/record_log.hpp"
 #include "node/store_confirmation.hpp"
 #include "platform/store_format.hpp"
 
@@ -162,22 +163,11 @@
 		/// Applies the configuration of a listing that is not newer as a whole.
 		void apply_relayed_configuration(const platform::store_response& response);
 		void update_encoded(const steering::store_record& record);
-		void log_service_limits();
-
-		/// Logs how many entries have a service that the configuration does not name, when that number has changed.
-		void log_unknown_services();
-
-		/// Logs that flows of services are rejected because of the length of their names.
-		void log_long_names();
-
-		/// Logs that routes have the default class because a field of their class is invalid.
-		void log_invalid_classes(const steering::configuration& config);
 		void handle_failure(const std::string& reason);
 		void update_watch_scope();
 		void record_newest(const steering::store_revision& revision) noexcept;
 		void apply(const steering::store_record& record);
 		void enter_era(const steering::store_revision& revision);
-		void log_ignored(const steering::store_record& record) const;
 
 		/// Schedules a listing for the time when a restored store has settled, if records are held until then.
 		void schedule_settled_listing();
@@ -187,6 +177,7 @@
 		node_log& log_;
 		steering::catalog& catalog_;
 		steering::record_group group_;
+		record_log record_log_;
 		http_connection connection_;
 		store_confirmation confirmation_;
 		std::function<steering::watch_scope()> watch_scope_selector_;
@@ -202,6 +193,5 @@
 		steering::record_evidence heard_;
 		store_call_counts counts_;
 		bool settled_listing_scheduled_ = false;
-		std::size_t unknown_services_logged_ = 0; ///< Number of entries in the last such line.
 	};
 }
