Move the messages to balancers out of the agent

Change: balancer_messages sends them, and keeps what is passed on with load reports. Messages and their order stay. Two tests ignore results explicitly.

--- a/src/node/agent_node.cpp
+++ b/src/node/agent_node.cpp
@@ -2,6 +2,7 @@
 #include "nutmegturn/steering/message_arrival.hpp"
 
 #include "node/agent_log.hpp"
+#include "node/balancer_messages.hpp"
 #include "node/node.hpp"
 #include "node/process_signals.hpp"
 #include "node/suspended_time.hpp"
@@ -88,7 +89,7 @@
 				peers_ = std::move(std::get<0>(peers));
 				outbound_ = std::move(std::get<0>(outbound));
 				upstream_ = std::move(std::get<0>(upstream));
-				to_peers_.emplace(peers_.get(), batch_size);
+				to_balancers_.emplace(node_, state_, peers_.get());
 				to_callers_.emplace(outbound_.get(), batch_size);
 				to_upstream_.emplace(upstream_.get(), batch_size);
 				if (!node_.loop.watch(peers_.get(), [this] { read_peers(); }) ||
@@ -158,7 +159,7 @@
 					}
 					if (msg->kind == message_kind::query)
 					{
-						handle_query(*msg, from->ip);
+						to_balancers_->answer_query(*msg, from->ip);
 						continue;
 					}
 					if (msg->kind == message_kind::probe_relay)
@@ -232,8 +233,8 @@
 
 			void send_declined(const steering::waiting_opening& opening)
 			{
-				send(opening.balancer, message_kind::declined, opening.flow,
-					 make_load_report(state_, node_.catalog, node_.loop.now()), opening.packet);
+				to_balancers_->send(opening.balancer, message_kind::declined, opening.flow,
+									make_load_report(state_, node_.catalog, node_.loop.now()), opening.packet);
 			}
 
 			void return_expired_openings()
@@ -339,7 +340,7 @@
 					}
 					else
 					{
-						send(agent, msg);
+						to_balancers_->send(agent, msg);
 					}
 				}
 			}
@@ -349,61 +350,17 @@
 				const bool is_new = !state_.balancers.contains(balancer);
 				const auto arrived = earliest_arrival(arrival_, node_.loop.now());
 				const auto knowledge = steering::decode_knowledge(msg.packet, arrived);
-				newest_entry_revision_ = std::max(newest_entry_revision_, knowledge.entry);
 				node_.upstreams_reader.handle_known_revision(knowledge.entry);
 				node_.handle_knowledge(knowledge);
-				if (knowledge.upstreams.as_of > heard_of_upstreams_.as_of)
-				{
-					heard_of_upstreams_ = knowledge.upstreams;
-				}
-				send_held_flows(handle_subscription(state_, msg, balancer, node_.loop.now()));
+				to_balancers_->pass_on(knowledge);
+				to_balancers_->send_held_flows(handle_subscription(state_, msg, balancer, node_.loop.now()));
 				if (knowledge.pass_on)
 				{
-					send_load_to_all_but(balancer);
+					to_balancers_->send_load_to_all_but(balancer);
 				}
 				if (is_new || msg.just_started)
 				{
-					send_load(balancer, make_load_report(state_, node_.catalog, node_.loop.now()));
-				}
-			}
-
-			void send_load_to_all_but(ipv4 excluded)
-			{
-				const auto report = make_load_report(state_, node_.catalog, node_.loop.now());
-				for (const auto& [balancer, heard] : state_.balancers)
-				{
-					if (balancer != excluded)
-					{
-						send_load(balancer, report);
-					}
-				}
-			}
-
-			void handle_query(const message& query, ipv4 balancer)
-			{
-				const auto answers = answer_query(state_, steering::decode_flows(query.packet));
-				std::array<std::byte, steering::max_flows_per_message * steering::encoded_answer_size> encoded{};
-				const auto part = std::span{answers}.first(std::min(answers.size(), steering::max_flows_per_message));
-				encode_answers(part, encoded);
-				send(balancer, message_kind::query_reply, {}, make_load_report(state_, node_.catalog, node_.loop.now()),
-					 std::span{encoded}.first(part.size() * steering::encoded_answer_size));
-			}
-
-			void send_held_flows(const steering::held_flows_notice& notice)
-			{
-				std::array<std::byte, steering::max_flows_per_message * steering::encoded_flow_size> encoded{};
-				const auto load = make_load_report(state_, node_.catalog, node_.loop.now());
-				std::span<const steering::flow_id> rest = notice.flows;
-				while (!rest.empty())
-				{
-					const auto part = rest.first(std::min(rest.size(), steering::max_flows_per_message));
-					encode_flows(part, encoded);
-					rest = rest.subspan(part.size());
-					for (const auto balancer : notice.balancers)
-					{
-						send(balancer, message_kind::held_flows, {}, load,
-							 std::span{encoded}.first(part.size() * steering::encoded_flow_size));
-					}
+					to_balancers_->send_load(balancer, make_load_report(state_, node_.catalog, node_.loop.now()));
 				}
 			}
 
@@ -451,7 +408,7 @@
 					{
 						decisions_.log_decline(reply.flow, reply.why, {});
 					}
-					send(reply.balancer, reply.kind, reply.flow, load, reply.packet);
+					to_balancers_->send(reply.balancer, reply.kind, reply.flow, load, reply.packet);
 				}
 				std::ranges::for_each(decision.returned, [this](const auto& it) { return_opening(it); });
 				if (first_refusal)
@@ -499,8 +456,8 @@
 					{
 						decisions_.log_decline(reply.flow, reply.why, waited);
 					}
-					send(reply.balancer, reply.kind, reply.flow, load,
-						 reply.with_packet ? bytes : std::span<const std::byte>{});
+					to_balancers_->send(reply.balancer, reply.kind, reply.flow, load,
+										reply.with_packet ? bytes : std::span<const std::byte>{});
 				}
 			}
 
@@ -509,53 +466,6 @@
 				to_callers_->add(to_endpoint({.ip = caller, .port = node_.settings.caller_packets.port}), bytes);
 			}
 
-			/// Sends a load report with the newest known revision of the upstream's entry, and passes on what balancers
-			/// told of the store, and the upstream's work. A balancer whose watch lost the answer that told of that
-			/// revision reads the entries again.
-			void send_load(ipv4 balancer, const steering::load_report& report)
-			{
-				const auto* own = own_upstream(state_.gate, node_.catalog);
-				if (own != nullptr)
-				{
-					newest_entry_revision_ = std::max(newest_entry_revision_, node_.catalog.revisions.at(own->key));
-				}
-				const auto own_evidence = node_.orders_reader.own_evidence();
-				const auto& heard = node_.orders_reader.heard_evidence();
-				const steering::store_knowledge knowledge{.entry = newest_entry_revision_,
-														  .orders =
-															  heard.as_of > own_evidence.as_of ? heard : own_evidence,
-														  .upstreams = heard_of_upstreams_,
-														  .pass_on = false};
-				const auto now = node_.loop.now();
-				const auto known_records = encode_knowledge(knowledge, now);
-				const auto work = encode_work_report(make_work_report(state_, node_.catalog, now));
-				std::array<std::byte, known_records.size() + work.size()> payload{};
-				std::ranges::copy(work, std::ranges::copy(known_records, payload.begin()).out);
-				send(balancer, message_kind::load, {}, report, payload);
-			}
-
-			void send(ipv4 balancer, message_kind kind, const steering::flow_id& flow,
-					  const steering::load_report& load, std::span<const std::byte> packet)
-			{
-				message msg;
-				msg.kind = kind;
-				msg.version = node_.catalog.version;
-				msg.orders_revision = node_.catalog.orders_revision;
-				msg.flow = flow;
-				msg.load = load;
-				msg.other_balancer = other_balancer(state_, balancer);
-				msg.packet = packet;
-				send(balancer, msg);
-			}
-
-			void send(ipv4 receiver, const message& msg)
-			{
-				++node_.messages.sent[static_cast<std::size_t>(msg.kind)];
-				const auto buffer = to_peers_->reserve(encoded_size_bound(msg));
-				const auto size = encode_message(msg, buffer);
-				to_peers_->commit(to_endpoint({.ip = receiver, .port = node_.settings.peer_port}), size);
-			}
-
 			[[nodiscard]] std::uint32_t slots() const
 			{
 				const auto* own = own_upstream(state_.gate, node_.catalog);
@@ -567,13 +477,13 @@
 				const auto now = node_.loop.now();
 				for (const auto& notice : collect_newly_held_flows(state_))
 				{
-					send_held_flows(notice);
+					to_balancers_->send_held_flows(notice);
 				}
 				node_.upstreams_reader.widen_watch();
 				const auto report = make_load_report(state_, node_.catalog, now);
 				for (const auto balancer : load_report_recipients(state_, report, slots(), now))
 				{
-					send_load(balancer, report);
+					to_balancers_->send_load(balancer, report);
 				}
 				node_.loop.call_at(now + load_interval, [this] { report_load(); });
 			}
@@ -604,7 +514,7 @@
 				const auto report = make_load_report(state_, node_.catalog, node_.loop.now());
 				for (const auto& [balancer, heard] : state_.balancers)
 				{
-					send_load(balancer, report);
+					to_balancers_->send_load(balancer, report);
 				}
 				node_.log.write(log_level::info, "stopping",
 								"agent stopping; balancers notified to place no new flows on it");
@@ -616,8 +526,8 @@
 				check_for_pause();
 				to_upstream_->flush();
 				to_callers_->flush();
-				to_peers_->flush();
-				node_.datagrams_refused = to_upstream_->failed() + to_callers_->failed() + to_peers_->failed();
+				to_balancers_->flush();
+				node_.datagrams_refused = to_upstream_->failed() + to_callers_->failed() + to_balancers_->failed();
 			}
 
 			node node_;
@@ -629,16 +539,14 @@
 			runtime::file_descriptor outbound_;
 			runtime::file_descriptor upstream_;
 			runtime::receive_batch batch_{batch_size, datagram_size};
-			std::optional<runtime::send_batch> to_peers_;
+			std::optional<balancer_messages> to_balancers_;
 			std::optional<runtime::send_batch> to_callers_;
 			std::optional<runtime::send_batch> to_upstream_;
 			steering::loop_times loop_times_;
 			steering::message_arrival arrival_; ///< Of messages from balancers.
 			bool queue_check_scheduled_ = false;
-			std::uint64_t request_check_timer_ = 0;          ///< 0 if none is scheduled.
-			monotonic_time request_check_at_;                ///< Time of that timer.
-			steering::store_revision newest_entry_revision_; ///< Of the own upstream, according to any process.
-			steering::record_evidence heard_of_upstreams_;   ///< Latest evidence of a balancer, of the whole group.
+			std::uint64_t request_check_timer_ = 0; ///< 0 if none is scheduled.
+			monotonic_time request_check_at_;       ///< Time of that timer.
 		};
 	}
 
--- a/tests/steering_identity_test.cpp
+++ b/tests/steering_identity_test.cpp
@@ -114,7 +114,8 @@
 					put(known, "config", configured(3, {{.service = first, .weight = 1}}));
 				}
 				EXPECT_EQ(open(state, second).replies.at(0).why, admission_status::other_service);
-				handle_balancer_packet(state, known, about_flow(message_kind::probe), data(), balancer, now);
+				static_cast<void>(
+					handle_balancer_packet(state, known, about_flow(message_kind::probe), data(), balancer, now));
 				ASSERT_TRUE(state.flows.contains(flow));
 				const auto decision = open(state, second);
 				EXPECT_FALSE(decision.to_upstream);
@@ -133,9 +134,9 @@
 			put(known, "config", configured(3, {{.service = first, .weight = 1}}));
 			EXPECT_TRUE(open(state, first).to_upstream);
 			EXPECT_TRUE(open(state, second).to_upstream) << "a copy";
-			handle_upstream_packet(state, reply(0, true), now);
+			static_cast<void>(handle_upstream_packet(state, reply(0, true), now));
 			EXPECT_TRUE(open(state, second).to_upstream) << "a copy, since the answer was lost";
-			handle_upstream_packet(state, reply(50), now);
+			static_cast<void>(handle_upstream_packet(state, reply(50), now));
 			EXPECT_FALSE(open(state, second).to_upstream) << "a later flow";
 		}
 
