Take no opening packet that names no service

Cause: found in the read of the diff. An opening packet in another message than `open` reached the upstream without a check of its service, and the empty name of an agent without settings equalled the one that stands for none. No process sends either, but the agent is the last check.

Change: both are refused. The bound of a message's size counts only the names that it carries.

Conclusion: an upstream gets an opening packet only for the service that the message names.

--- a/include/nutmegturn/steering/upstream_gate.hpp
+++ b/include/nutmegturn/steering/upstream_gate.hpp
@@ -45,7 +45,7 @@
 													 monotonic_time now);
 
 	/// Decides on an opening packet.
-	/// \param service	Service chosen by the balancer.
+	/// \param service	Service chosen by the balancer; the empty name is that of none.
 	/// \param version	Configuration version of the balancer.
 	/// \param route	Address that the caller used.
 	/// \returns		`admission_status::accepting` if the packet is to be forwarded; otherwise why it is declined.
--- a/src/steering/agent_flows.cpp
+++ b/src/steering/agent_flows.cpp
@@ -239,6 +239,11 @@
 			return handle_opening(state, known, msg, packet, balancer, now);
 		}
 		agent_decision decision;
+		if (packet.syn)
+		{
+			// Only `open` names the service to which the flow may go.
+			return decision;
+		}
 		const auto id = flow_of_caller(packet);
 		decision.to_upstream = true;
 		if (packet.rst)
--- a/src/steering/message.cpp
+++ b/src/steering/message.cpp
@@ -133,10 +133,16 @@
 				   (kind == message_kind::subscribe ? 1 + name_length_size : 0);
 		}
 
+		/// Returns what a message has of a name: all of it, or nothing.
+		[[nodiscard]] std::string_view sent_part(std::string_view name) noexcept
+		{
+			return name.size() <= max_sent_name_size ? name : std::string_view{};
+		}
+
 		/// Writes the length and the bytes of a name.
 		void put_name(writer& to, std::string_view name) noexcept
 		{
-			const auto sent = name.size() <= max_sent_name_size ? name : std::string_view{};
+			const auto sent = sent_part(name);
 			to.put(static_cast<std::uint16_t>(sent.size()));
 			to.put(std::as_bytes(std::span{sent}));
 		}
@@ -321,7 +327,7 @@
 
 	std::size_t encoded_size_bound(const message& msg) noexcept
 	{
-		return max_message_header_size + msg.service.size() + msg.zone.size() + msg.packet.size();
+		return max_message_header_size + sent_part(msg.service).size() + sent_part(msg.zone).size() + msg.packet.size();
 	}
 
 	std::size_t encode_message(const message& msg, std::span<std::byte> out) noexcept
--- a/src/steering/upstream_gate.cpp
+++ b/src/steering/upstream_gate.cpp
@@ -113,7 +113,8 @@
 	admission_status admit_opening(upstream_gate& gate, const catalog& known, std::string_view service,
 								   std::uint64_t version, const ipv4_endpoint& route, monotonic_time now)
 	{
-		if (service != gate.service || (version < known.version && route_excludes_service(gate, known, route)))
+		const bool is_own = service == gate.service && !service.empty();
+		if (!is_own || (version < known.version && route_excludes_service(gate, known, route)))
 		{
 			return admission_status::other_service;
 		}
--- a/tests/steering_identity_test.cpp
+++ b/tests/steering_identity_test.cpp
@@ -125,6 +125,22 @@
 			}
 		}
 
+		// Guards against an opening packet that passes the check since no service is named.
+		TEST_F(steering_identity, agent_takes_no_opening_packet_without_a_service)
+		{
+			auto state = agent_of(first);
+			put(known, "u1", entry(1, first, "a"));
+			EXPECT_FALSE(open(state, "").to_upstream);
+			for (const auto kind : {message_kind::flow_packet, message_kind::probe})
+			{
+				EXPECT_FALSE(
+					handle_balancer_packet(state, known, about_flow(kind), opening(), balancer, now).to_upstream);
+			}
+			EXPECT_TRUE(state.flows.empty());
+			auto nameless = agent_of("");
+			EXPECT_FALSE(open(nameless, "").to_upstream);
+		}
+
 		// Guards against a copy of an opening packet that is lost since a configuration moved its route meanwhile, and
 		// against a later flow of the same port that reaches the former service.
 		TEST_F(steering_identity, agent_takes_copies_for_another_service_until_the_flow_is_open)
@@ -187,6 +203,7 @@
 				const auto got = decode_message(buf);
 				ASSERT_TRUE(got);
 				EXPECT_EQ(got->service, name.size() > max_sent_name_size ? "" : name) << "one that is too long is none";
+				EXPECT_LE(encoded_size_bound(msg), max_message_header_size + max_sent_name_size);
 			}
 		}
 
